Serve the platform's protocols: MessagePack-RPC front, engine calls, command channel

The module gains one event, Withdrawn, by which a host that ends asks for its word on what is still open.

--- a/cairnhoist/interface.py
+++ b/cairnhoist/interface.py
@@ -276,6 +276,13 @@
     request: int
 
 
+@dataclass(slots=True, frozen=True)
+class Withdrawn:
+    """The host is about to end: the request needs its final answer now."""
+
+    request: int
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer set earlier has run out."""
@@ -292,7 +299,7 @@
 
 
 Event: TypeAlias = (MembersChanged | RequestArrived | StreamStarted | AttemptEnded | AttemptNote
-                    | ProbeEnded | ClientGone | TimerFired | PeerMessage)
+                    | ProbeEnded | ClientGone | Withdrawn | TimerFired | PeerMessage)
 
 
 @dataclass(slots=True, frozen=True)
--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -9,7 +9,7 @@
 from cairnhoist.interface import (
     Action, AttemptBudget, AttemptEnded, AttemptNote, Cancel, ClientGone, Discovery, Effect, EngineId,
     EngineState, Event, Fail, ListKind, MembersChanged, NoteKind, Probe, ProbeEnded, Refuse, RequestArrived,
-    Scope, Send, SetTerms, Settings, SetTimer, Status, StreamStarted, TimerFired, Watch,
+    Scope, Send, SetTerms, Settings, SetTimer, Status, StreamStarted, TimerFired, Watch, Withdrawn,
 )
 from cairnhoist.state import Attempt, Engine, Learned, Line, Mean, RecentMeans, Request, Rule, Window, usable
 
@@ -108,7 +108,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             RequestArrived: self.on_request, AttemptEnded: self.on_outcome, AttemptNote: self.on_note,
             ProbeEnded: self.on_report, TimerFired: self.on_timer, MembersChanged: self.on_members,
-            ClientGone: self.on_over, StreamStarted: self.on_over}
+            ClientGone: self.on_over, StreamStarted: self.on_over, Withdrawn: self.on_withdrawn}
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at its time; return the actions to carry out, in order."""
@@ -412,6 +412,10 @@
         if r := self.requests.get(event.request):
             self.finish(r)
 
+    def on_withdrawn(self, event: Withdrawn) -> None:
+        if r := self.requests.get(event.request):
+            self.give_up(r)
+
     def give_up(self, r: Request) -> None:
         """The final answer at once: a refusal where a retry does no harm, else a failure."""
         again = r.spec.effect is Effect.SAFE or (r.spec.effect is Effect.KEYED and r.spec.scope is Scope.ALL)
--- /dev/null
+++ b/fordstair/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes; nothing in here knows a wire."""
--- /dev/null
+++ b/fordstair/core/coordinator.py
@@ -0,0 +1,251 @@
+"""The life of a request between the decision module, a front and an engine transport."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+
+from cairnhoist.interface import (
+    AttemptEnded,
+    AttemptNote,
+    Cancel,
+    ClientGone,
+    EngineEntry,
+    EngineState,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    MembersChanged,
+    Refuse,
+    RequestArrived,
+    Send,
+    SetTerms,
+    SetTimer,
+    Settings,
+    Status,
+    TimerFired,
+    Withdrawn,
+)
+from cairnhoist.logic import Gateway
+from fordstair.core.counters import Counters
+from fordstair.core.deadlines import Deadlines
+from fordstair.core.ports import AttemptFailed, Call, Engine, Errand, Query, Reply, Transport
+
+log = logging.getLogger(__name__)
+
+# A client counts its limit from its send, which happened before the request was read here, and the
+# answer has a way to go as well: what both take, with a busy turn of this program, comes off the limit.
+TRANSIT_MS = 15.0
+
+
+@dataclass(slots=True, eq=False)
+class Live:
+    """A request that is being worked on."""
+
+    id: int
+    query: Query
+    reply: Reply
+    taken_ms: float
+    deadline_ms: float
+    urgency: int = 1
+    attempts: int = 0
+    engine: str = ""
+    over: bool = False  # its final answer is given, or nobody waits for one
+    order: Send | None = None
+    ordered: trio.Event = field(default_factory=trio.Event)
+    call: Call | None = None
+    scope: trio.CancelScope | None = None  # of the attempt that is out
+
+    async def next_order(self) -> Send | None:
+        """Wait for the module's next send; None once the request is over."""
+        while self.order is None and not self.over:
+            self.ordered = trio.Event()
+            await self.ordered.wait()
+        order, self.order = self.order, None
+        return None if self.over else order
+
+    def end(self) -> None:
+        """Nothing more is owed to the client; what is out is given up."""
+        self.over = True
+        self.ordered.set()
+        if self.scope is not None:
+            self.scope.cancel()
+
+
+class Coordinator:
+    """Feeds the module with events and carries out its actions."""
+
+    def __init__(self, settings: Settings, seed: int, transports: Mapping[str, Transport],
+                 deadlines: Deadlines, counters: Counters) -> None:
+        self.settings, self.transports = settings, transports
+        self.deadlines, self.counters = deadlines, counters
+        self.gateway = Gateway(settings, seed)
+        self.engines: dict[str, Engine] = {}
+        self.live: dict[int, Live] = {}
+        self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
+        self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
+        self.draining = False
+        self._last_id = 0
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Hold the tasks of all requests, until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            await trio.sleep_forever()
+
+    def take(self, query: Query, reply: Reply) -> Live:
+        """Take a request in; its reply gets exactly one final answer, unless the client leaves."""
+        assert self._nursery is not None, "the coordinator is not running"
+        self._last_id += 1
+        now = self.deadlines.clock()
+        live = Live(self._last_id, query, reply, now, now + max(0.0, query.limit_ms - TRANSIT_MS))
+        self.live[live.id] = live
+        self.counters.add(f"taken.{query.lane}")
+        self._nursery.start_soon(self._guarded, live)
+        return live
+
+    def leave(self, live: Live) -> None:
+        """The client has stopped waiting: no answer is owed."""
+        if not live.over:
+            self.counters.add("client.left")
+            live.end()
+            self.tell(ClientGone(live.id))
+
+    def close(self) -> None:
+        """The program ends: the module gives its word on every request that is still open."""
+        for live in [live for live in self.live.values() if not live.over]:
+            self.tell(Withdrawn(live.id))
+
+    async def _guarded(self, live: Live) -> None:
+        """Keep a fault in one request from taking down the others: it becomes a failed answer."""
+        try:
+            await self.serve(live)
+        except Exception:
+            log.exception("request %s broke", live.query.txn)
+            self._answer(live, "failed", partial(live.reply.failed, "internal error"))
+        finally:
+            self.live.pop(live.id, None)
+
+    async def serve(self, live: Live) -> None:
+        """One request from its arrival to its single final answer."""
+        query = live.query
+        self.tell(RequestArrived(
+            live.id, query.klass, live.deadline_ms - self.deadlines.clock(), query.tenant, query.cost_ms,
+            query.memory_mb, query.group))
+        while (order := await live.next_order()) is not None:
+            engine, number, sent_ms = self.engines[order.engine], live.attempts, self.deadlines.clock()
+            live.attempts, live.engine = number + 1, order.engine
+            self.counters.add(f"sent.{query.lane}")
+            until = sent_ms + order.limit_ms if order.limit_ms > 0.0 else live.deadline_ms
+            limit_ms = min(until, live.deadline_ms) - sent_ms
+            # The transport looks again right before bytes go out: an engine may have begun to drain while
+            # a connection came up, and the request may have been given up meanwhile.
+            call = self.transports[engine.protocol].call(
+                Errand(query, engine, live.urgency, limit_ms, partial(self._may_go, live, engine)))
+            live.call, pages, status, report = call, list[bytes](), Status.CANCELLED, tuple[float, ...]()
+            with self.deadlines.limit(sent_ms + limit_ms) as live.scope:
+                try:
+                    news = await call.start()
+                    while news.running:
+                        if news.note is not None:
+                            self.tell(AttemptNote(live.id, number, order.engine, *news.note))
+                        news = await call.news()
+                    report, pages = news.report, [news.rows]
+                    for page in range(1, news.pages):
+                        pages.append(await call.page(page))
+                    status = Status.OK  # only now: a page that is lost is an error that may have run
+                except AttemptFailed as failure:
+                    status, report = failure.status, failure.report
+                    log.debug("%s at %s: %s: %s", query.txn, order.engine, status.value, failure)
+            if live.scope.cancelled_caught:
+                await call.drop()
+                if self.deadlines.clock() >= sent_ms + limit_ms:
+                    status = Status.TIMEOUT
+            live.scope, live.call = None, None
+            self.counters.add(f"outcome.{status.value}")
+            if status is Status.OK:
+                self._answer(live, "served", partial(live.reply.served, pages))
+            self.tell(AttemptEnded(
+                live.id, number, order.engine, status, self.deadlines.clock() - sent_ms,
+                complete=live.over, report=report))
+
+    def tell(self, event: Event) -> None:
+        """Hand the module an event and carry out what it answers, in order."""
+        now = self.deadlines.clock()
+        for action in self.gateway.handle(now, event):
+            match action:
+                case Send(request):
+                    if (live := self.live.get(request)) is not None:
+                        live.order = action
+                        live.ordered.set()
+                case Refuse(request, later):
+                    if (live := self.live.get(request)) is not None:
+                        self._answer(live, "refused", partial(live.reply.refused, later))
+                case Fail(request):
+                    if (live := self.live.get(request)) is not None:
+                        self._answer(live, "failed", partial(live.reply.failed, "given up"))
+                case Cancel(request, attempt):
+                    live = self.live.get(request)
+                    if live is not None and live.scope is not None and live.attempts == attempt + 1:
+                        live.scope.cancel()
+                case SetTerms(request, _, priority):
+                    self._set_urgency(request, priority)
+                case SetTimer(token, delay):
+                    self.deadlines.add(now + delay, partial(self.tell, TimerFired(token)))
+                case Log(text):
+                    log.info("module: %s", text)
+                case _:  # this deployment knows neither probes nor peers, and its register pushes
+                    log.warning("the module asked for %s, which this site does not offer", action)
+
+    def members(self, kind: ListKind, engines: Iterable[Engine]) -> None:
+        """Take news of the register in, and pass it to the module."""
+        listed = list(engines)
+        if kind is not ListKind.DELTA:
+            for gone in self.engines.keys() - {engine.entry.engine for engine in listed}:
+                self._retire(self.engines[gone])
+        for engine in listed:
+            old = self.engines.get(engine.entry.engine)
+            if old is not None and (old.address, old.entry.started_ms) != (
+                    engine.address, engine.entry.started_ms):
+                self._retire(old)
+            if old is not None and old.address == engine.address and old.entry.started_ms == \
+                    engine.entry.started_ms:
+                old.entry = engine.entry
+            else:
+                self.engines[engine.entry.engine] = engine
+            if engine.entry.state is EngineState.GONE:
+                self._retire(self.engines[engine.entry.engine])
+        self.counters.add("members.events")
+        self.tell(MembersChanged(kind, tuple(engine.entry for engine in listed)))
+
+    def _may_go(self, live: Live, engine: Engine) -> bool:
+        return engine.ready and self.engines.get(engine.entry.engine) is engine and not live.over
+
+    def _retire(self, engine: Engine) -> None:
+        """No POST meant for this process may reach another that took its address."""
+        entry = engine.entry
+        engine.entry = EngineEntry(entry.engine, EngineState.GONE, entry.zone, entry.cell, entry.kind,
+                                   entry.started_ms, entry.weight)
+        self.transports[engine.protocol].forget(engine)
+
+    def _answer(self, live: Live, how: str, answer: Callable[[], None]) -> None:
+        """Give the one final answer, at once; a second one is never given."""
+        if live.over:
+            return
+        self.counters.add(f"answered.{how}.{live.query.lane}")
+        answer()
+        live.over = True
+        live.ordered.set()
+
+    def _set_urgency(self, request: int, urgency: int) -> None:
+        if (live := self.live.get(request)) is None or live.urgency == urgency:
+            return
+        live.urgency = urgency
+        if live.call is not None and self._nursery is not None:
+            self._nursery.start_soon(live.call.hurry, urgency)
--- /dev/null
+++ b/fordstair/core/deadlines.py
@@ -0,0 +1,77 @@
+"""All deadlines of the program, in one sorted structure that is swept each turn."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import TypeAlias
+
+import trio
+from sortedcontainers import SortedDict
+
+from fordstair.core.clock import now_ms
+
+log = logging.getLogger(__name__)
+
+Ticket: TypeAlias = tuple[float, int]
+
+
+class Deadlines:
+    """Actions to run once their time has come, sorted by that time."""
+
+    def __init__(self, clock: Callable[[], float] = now_ms) -> None:
+        self.clock = clock
+        self._due: SortedDict[Ticket, Callable[[], None]] = SortedDict()
+        self._number = 0
+        self._earlier = trio.Event()
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def add(self, at_ms: float, action: Callable[[], None]) -> Ticket:
+        """Run the action at the first sweep at or after that time."""
+        self._number += 1
+        ticket = (at_ms, self._number)
+        self._due[ticket] = action
+        if self._due.peekitem(0)[0] == ticket:
+            self._earlier.set()
+        return ticket
+
+    def drop(self, ticket: Ticket) -> None:
+        """Forget a deadline; one that has passed is no error."""
+        self._due.pop(ticket, None)
+
+    def sweep(self) -> None:
+        """Run what is due, in order of time."""
+        now = self.clock()
+        while self._due and self._due.peekitem(0)[0][0] <= now:
+            _, action = self._due.popitem(0)
+            try:
+                action()
+            except Exception:  # one bad action must not stop the deadlines of everything else
+                log.exception("a deadline's action failed")
+
+    @contextmanager
+    def limit(self, at_ms: float) -> Iterator[trio.CancelScope]:
+        """Cancel the block at that time; ``scope.cancelled_caught`` tells whether it was."""
+        with trio.CancelScope() as scope:
+            ticket = self.add(at_ms, scope.cancel)
+            try:
+                yield scope
+            finally:
+                self.drop(ticket)
+
+    async def sleep(self, ms: float) -> None:
+        """Wait for that long."""
+        with self.limit(self.clock() + ms):
+            await trio.sleep_forever()
+
+    async def run(self) -> None:
+        """Sweep whenever the first deadline has come, until cancelled."""
+        while True:
+            self.sweep()
+            self._earlier = trio.Event()
+            wait_ms = self._due.peekitem(0)[0][0] - self.clock() if self._due else 60_000.0
+            with trio.move_on_after(max(0.0, wait_ms) / 1000.0):
+                await self._earlier.wait()
--- /dev/null
+++ b/fordstair/core/ports.py
@@ -0,0 +1,110 @@
+"""What the core asks of the fronts before it and of the engine transports behind it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from cairnhoist.interface import EngineEntry, EngineState, NoteKind, Status
+
+
+@dataclass(slots=True, frozen=True)
+class Query:
+    """One request of a client, in no wire's form."""
+
+    txn: str
+    lane: str  # the class, by name
+    klass: int
+    tenant: int
+    limit_ms: float  # how long the client waits, from its send
+    statement: bytes
+    group: float = 0.0
+    cost_ms: float = 0.0
+    memory_mb: float = 0.0
+
+
+@dataclass(slots=True)
+class Engine:
+    """One engine as the membership last told of it."""
+
+    entry: EngineEntry
+    address: str  # host:port
+    protocol: str = "rest"
+
+    @property
+    def ready(self) -> bool:
+        """Whether new work may go there."""
+        return self.entry.state is EngineState.READY
+
+
+class Reply(Protocol):
+    """Takes the one final answer of a request; returns at once and raises nothing."""
+
+    def served(self, pages: Sequence[bytes]) -> None:
+        """All rows, in order, as text with tabs and line feeds."""
+
+    def refused(self, later_ms: float) -> None:
+        """A retry is harmless, best after that long."""
+
+    def failed(self, reason: str) -> None:
+        """Nothing is promised about the effect."""
+
+
+@dataclass(slots=True, frozen=True)
+class News:
+    """An engine's word on a query: still running, with a note perhaps, or its first page."""
+
+    running: bool
+    pages: int = 0
+    rows: bytes = b""
+    note: tuple[NoteKind, float] | None = None
+    report: tuple[float, ...] = ()
+
+
+class AttemptFailed(Exception):
+    """An attempt has ended without its result; the status says what that proves."""
+
+    def __init__(self, status: Status, why: str, report: tuple[float, ...] = ()) -> None:
+        super().__init__(why)
+        self.status, self.report = status, report
+
+
+class Call(Protocol):
+    """One attempt at one engine, in the transport's own protocol."""
+
+    async def start(self) -> News:
+        """Send the query; raise AttemptFailed when it ends badly."""
+
+    async def news(self) -> News:
+        """Ask how it stands, again and again without a long gap."""
+
+    async def page(self, number: int) -> bytes:
+        """Fetch a further page of the result, from 1."""
+
+    async def drop(self) -> None:
+        """Give the query up at the engine, if it may have got there; never takes long."""
+
+    async def hurry(self, urgency: int) -> None:
+        """Tell a new priority of running work."""
+
+
+@dataclass(slots=True)
+class Errand:
+    """What a transport is told of one attempt."""
+
+    query: Query
+    engine: Engine
+    urgency: int
+    limit_ms: float
+    may_go: Callable[[], bool] = field(default=lambda: True)  # asked right before bytes go out
+
+
+class Transport(Protocol):
+    """Carries attempts to engines."""
+
+    def call(self, errand: Errand) -> Call:
+        """Prepare one attempt; nothing is sent yet."""
+
+    def forget(self, engine: Engine) -> None:
+        """Close what is kept open to an engine that has gone or started anew."""
--- /dev/null
+++ b/fordstair/net/membership.py
@@ -0,0 +1,126 @@
+"""The command channel: changes to the list of engines, in frames over one TCP connection."""
+
+from __future__ import annotations
+
+import logging
+import struct
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import trio
+
+from cairnhoist.interface import EngineEntry, EngineState, ListKind
+from fordstair.core.counters import Counters
+from fordstair.core.deadlines import Deadlines
+from fordstair.core.ports import Engine
+
+log = logging.getLogger(__name__)
+
+# An empty frame comes each second: a longer silence means that the connection is dead without a sign.
+SILENCE_MS = 2_200.0
+CONNECT_MS = 1_000.0
+AGAIN_MS = 100.0
+LARGEST_FRAME = 4 * 1024 * 1024
+HEADER = struct.Struct(">IQB")
+RECORD = struct.Struct(">I4sHBBBHIQ")
+_STATES = (EngineState.READY, EngineState.DRAINING, EngineState.GONE)
+_NAMES = {"ready": EngineState.READY, "draining": EngineState.DRAINING, "gone": EngineState.GONE}
+
+Deliver = Callable[[ListKind, list[Engine]], None]
+
+
+class FrameError(Exception):
+    """A frame that cannot be read."""
+
+
+def read_frame(view: memoryview) -> tuple[int, int, memoryview, int] | None:
+    """Return number, kind, payload and length of the first frame; None where it is not whole yet."""
+    if len(view) < 4:
+        return None
+    size = int.from_bytes(view[:4], "big")
+    if not 9 <= size <= LARGEST_FRAME:
+        raise FrameError(f"a frame of {size} bytes")
+    if len(view) < 4 + size:
+        return None
+    _, number, kind = HEADER.unpack_from(view)
+    return number, kind, view[HEADER.size:4 + size], 4 + size
+
+
+def read_records(payload: memoryview) -> list[Engine]:
+    """Read the records of a whole list or of changes."""
+    if len(payload) % RECORD.size:
+        raise FrameError(f"{len(payload)} bytes of records")
+    engines = []
+    for name, host, port, state, zone, kind, cell, weight, started in RECORD.iter_unpack(payload):
+        if state >= len(_STATES):
+            raise FrameError(f"unknown state {state}")
+        entry = EngineEntry(f"s-{name:08x}", _STATES[state], zone, cell, kind, float(started), weight / 1000)
+        engines.append(Engine(entry, f"{host[0]}.{host[1]}.{host[2]}.{host[3]}:{port}"))
+    return engines
+
+
+def read_command(command: Mapping[str, Any], zones: list[str],
+                 kinds: list[str]) -> tuple[ListKind, list[Engine]]:
+    """Read one event of the configuration's ``known``; raise ValueError or KeyError where it cannot be."""
+    nodes, engines = command["nodes"], []
+    for line in nodes["servers"]:
+        entry = EngineEntry(
+            str(line["id"]), _NAMES[line["state"]], _position(zones, line.get("zone")),
+            int(line.get("cell", 0)), _position(kinds, line.get("kind")),
+            float(line.get("started_ms", 0)), float(line.get("weight", 1)))
+        engines.append(Engine(entry, str(line["addr"]), str(line.get("protocol", "rest"))))
+    return (ListKind.FULL if nodes.get("full") else ListKind.DELTA), engines
+
+
+def _position(names: list[str], name: object) -> int:
+    return names.index(name) if isinstance(name, str) and name in names else 0
+
+
+class Membership:
+    """Keeps connected to the channel and passes every event on, each once."""
+
+    def __init__(self, channel: str, cursor: int, deliver: Deliver, deadlines: Deadlines,
+                 counters: Counters) -> None:
+        self.channel, self.cursor, self.deliver = channel, cursor, deliver
+        self.deadlines, self.counters = deadlines, counters
+
+    async def run(self) -> None:
+        """Connect, read until the connection ends or falls silent, and connect again from the last number."""
+        while True:
+            try:
+                await self._follow()
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, FrameError) as error:
+                log.info("command channel: %s", error)
+            self.counters.add("channel.breaks")
+            await self.deadlines.sleep(AGAIN_MS)
+
+    async def _follow(self) -> None:
+        host, _, port = self.channel.rpartition(":")
+        with trio.socket.socket() as sock:
+            with self.deadlines.limit(self.deadlines.clock() + CONNECT_MS) as limit:
+                await sock.connect((host, int(port)))
+            if limit.cancelled_caught:
+                raise OSError("no connection")
+            stream = trio.SocketStream(sock)
+            await stream.send_all(self.cursor.to_bytes(8, "big"))
+            buffer = b""
+            while True:
+                with self.deadlines.limit(self.deadlines.clock() + SILENCE_MS) as limit:
+                    chunk = await stream.receive_some(65_536)
+                if limit.cancelled_caught:
+                    raise OSError("silence")
+                if not chunk:
+                    raise OSError("closed")
+                buffer = buffer + chunk if buffer else bytes(chunk)
+                view, at = memoryview(buffer), 0
+                while (frame := read_frame(view[at:])) is not None:
+                    number, kind, payload, size = frame
+                    at += size
+                    self._take(number, kind, payload)
+                buffer = buffer[at:]
+
+    def _take(self, number: int, kind: int, payload: memoryview) -> None:
+        if kind not in (1, 2) or number <= self.cursor:  # nothing new, or told before the reconnection
+            return
+        self.deliver(ListKind.FULL if kind == 1 else ListKind.DELTA, read_records(payload))
+        self.cursor = number
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,225 @@
+"""Stand-ins for what a coordinator talks to, written from the protocol page: an engine and a client."""
+
+from __future__ import annotations
+
+import os
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import h11
+import msgpack
+import trio
+import ujson
+
+ROOT = Path(__file__).parent.parent
+SETTINGS: dict[str, Any] = {
+    "areas": ["hall-a"], "hostTypes": ["std"], "instances": 1, "index": 0, "family": "queries",
+    "categories": [
+        {"name": "lookup", "effect": "read_like", "promiseMs": 1200.0, "aimStretch": 1.5, "giveUpMs": 6000.0,
+         "worth": 1.0, "lateWorth": 0.5, "group": "all", "memorySpanMs": 5000.0},
+        {"name": "settlement", "effect": "read_like", "promiseMs": 2000.0, "aimStretch": 2.5,
+         "giveUpMs": 25000.0, "worth": 7.5, "lateWorth": 0.3, "group": "all", "memorySpanMs": 5000.0},
+        {"name": "meter-load", "effect": "non_idempotent", "promiseMs": 3000.0, "aimStretch": 3.0,
+         "giveUpMs": 20000.0, "worth": 4.0, "lateWorth": 0.6, "group": "all", "memorySpanMs": 5000.0}],
+    "projects": [{"name": "karri-energy", "quotaPerS": 1000.0}, {"name": "pindan-retail", "quotaPerS": 10.0}],
+    "extra": {"cpuOfKind": [12], "kindMemoryMb": [24576.0], "largestShare": 0.4, "priorities": True,
+              "loads": [False, False, True], "parallelism": [1, 4, 2], "tellsEveryMs": 500.0},
+    "limits": {"mayCancel": True, "sendCap": 4, "retryAfter": True, "maxRetryAfterMs": 1000.0,
+               "connectTimeoutMs": 250.0, "connIdleMs": 30000.0, "probes": False},
+    "obligations": {"coldFrom": 0.32, "coldMs": 15000.0, "fallMultiple": 2.5, "fallMs": 1000.0},
+    "report": {"fields": ["util", "inflight"], "source": "piggyback"}, "discovery": "push"}
+
+Answered = tuple[int, dict[str, str], bytes]
+Script = Callable[["RestEngine", str, str, dict[str, str], bytes], Awaitable[Answered | None]]
+
+
+class RestEngine:
+    """Answers as its script says; None breaks the connection. Counts calls, and keeps the POSTs."""
+
+    def __init__(self, script: Script) -> None:
+        self.script, self.address = script, ""
+        self.calls: Counter[str] = Counter()
+        self.posts: list[tuple[dict[str, str], bytes]] = []
+        self.deleted: list[str] = []
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection."""
+        http = h11.Connection(h11.SERVER)
+        request: h11.Request | None = None
+        body = b""
+        try:
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    http.receive_data(await stream.receive_some(65536))
+                elif isinstance(event, h11.Request):
+                    request, body = event, b""
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage) and request is not None:
+                    answered = await self._answer(request, body)
+                    if answered is None:
+                        return
+                    status, headers, text = answered
+                    fields = [*headers.items(), ("Content-Length", str(len(text)))]
+                    response = h11.Response(status_code=status, headers=fields)
+                    out = (http.send(response) or b"") + (http.send(h11.Data(data=text)) or b"")
+                    await stream.send_all(out + (http.send(h11.EndOfMessage()) or b""))
+                    http.start_next_cycle()
+                else:
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(self, request: h11.Request, body: bytes) -> Answered | None:
+        method, path = request.method.decode(), request.target.decode()
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        self.calls[method] += 1
+        if method == "POST":
+            self.posts.append((headers, body))
+        if method == "DELETE":
+            self.deleted.append(path)
+        return await self.script(self, method, path, headers, body)
+
+
+async def at_once(engine: RestEngine, method: str, path: str, headers: dict[str, str],
+                  body: bytes) -> Answered | None:
+    """Serve every query at once, in two pages."""
+    if method == "POST":
+        return 200, {"X-Sheets": "2", "X-Gauges": "inflight:1;util:0.10"}, b"a\tb\tc\n"
+    if method == "GET" and path.endswith("/1"):
+        return 200, {"X-Sheet": "1"}, b"d\te\tf\n"
+    return 204, {}, b""
+
+
+async def never(engine: RestEngine, method: str, path: str, headers: dict[str, str],
+                body: bytes) -> Answered | None:
+    """Run every query for ever."""
+    if method in ("DELETE", "PUT"):
+        return 204, {}, b""
+    await trio.sleep(0.05)
+    return 202, {}, b""
+
+
+async def breaks(engine: RestEngine, method: str, path: str, headers: dict[str, str],
+                 body: bytes) -> Answered | None:
+    """Break the connection once the query is there."""
+    return None
+
+
+class Client:
+    """A MessagePack-RPC client that keeps every answer it gets."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream, self.last, self.answers = stream, 0, dict[int, list[Any]]()
+        self._unpacker = msgpack.Unpacker()
+
+    async def ask(self, lane: str = "lookup", body: object = b"SELECT a FROM sales_17.orders",
+                  **fields: str) -> int:
+        """Send a request; return its id."""
+        self.last += 1
+        told = {"txn": f"{self.last:016x}", "limit": "3000", "team": "karri-energy", "cpu": "200.0",
+                "need_mb": "96"} | fields
+        await self.send([0, self.last, lane, [told, body]])
+        return self.last
+
+    async def send(self, message: object) -> None:
+        """Send any message."""
+        await self.stream.send_all(msgpack.packb(message))
+
+    async def answer(self, number: int, within_s: float = 20.0) -> tuple[Any, Any]:
+        """Wait for an answer; return its error and result. A second answer is an error here."""
+        with trio.fail_after(within_s):
+            while number not in self.answers:
+                chunk = await self.stream.receive_some(65536)
+                assert chunk, "the coordinator closed the connection"
+                self._unpacker.feed(chunk)
+                for kind, answered, error, result in self._unpacker:
+                    assert kind == 1 and answered not in self.answers
+                    self.answers[answered] = [error, result]
+        error, result = self.answers[number]
+        return error, result
+
+
+@asynccontextmanager
+async def engine(script: Script = at_once) -> AsyncIterator[RestEngine]:
+    """A stand-in engine on a port of its own."""
+    one = RestEngine(script)
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, one.serve, 0)
+        one.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        yield one
+        nursery.cancel_scope.cancel()
+
+
+def config(*addresses: str, channel: str = "", **more: Any) -> dict[str, Any]:
+    """A configuration that lists engines at these addresses."""
+    servers = [{"id": f"s-{number:08x}", "addr": address, "zone": "hall-a", "kind": "std", "cell": 0,
+                "state": "ready", "weight": 1, "started_ms": 0} for number, address in enumerate(addresses)]
+    known = {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"version": 1, "full": True, "servers": servers}}]}
+    return {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "channel": channel,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+            "settings": SETTINGS, **more}
+
+
+class Program:
+    """The real program, started with a configuration."""
+
+    def __init__(self, process: trio.Process, log: list[str]) -> None:
+        self.process, self.log = process, log
+        self.ports: dict[str, int] = {}
+
+    async def client(self) -> Client:
+        """Connect a client."""
+        return Client(await trio.open_tcp_stream("127.0.0.1", self.ports["listens"]))
+
+    async def stop(self) -> int:
+        """Send SIGTERM and wait for the end."""
+        self.process.send_signal(signal.SIGTERM)
+        with trio.fail_after(20.0):
+            return await self.process.wait()
+
+
+@asynccontextmanager
+async def program(told: dict[str, Any], *arguments: str) -> AsyncIterator[Program]:
+    """Run ``python -m fordstair`` on a configuration."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(ujson.dumps(told))
+        environ = os.environ | {"RELAY_CONFIG": str(path)}
+        async with trio.open_nursery() as nursery:
+            process = await nursery.start(lambda task_status: trio.run_process(
+                [sys.executable, "-m", "fordstair", *arguments], env=environ, cwd=ROOT, check=False,
+                stderr=subprocess.PIPE, capture_stderr=False, task_status=task_status))
+            one, ready = Program(process, []), trio.Event()
+            nursery.start_soon(_follow, one, ready, 1 + len(arguments) // 2)
+            with trio.fail_after(20.0):
+                await ready.wait()
+            yield one
+            if process.returncode is None:
+                process.kill()
+
+
+async def _follow(one: Program, ready: trio.Event, fronts: int) -> None:
+    assert one.process.stderr is not None
+    text = b""
+    async for chunk in one.process.stderr:
+        text += chunk
+        *lines, text = text.split(b"\n")
+        for line in lines:
+            one.log.append(line.decode())
+            if match := re.search(r"(\w+) on 127\.0\.0\.1:(\d+)", line.decode()):
+                one.ports[match[1]] = int(match[2])
+                if len(one.ports) >= fronts:
+                    ready.set()
+    ready.set()
