--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -41,6 +41,7 @@
 # A client counts its limit from its send, which happened before the request was read here, and the
 # answer has a way to go as well: what both take, with a busy turn of this program, comes off the limit.
 TRANSIT_MS = 15.0
+LARGEST_RESULT = 1024 * 1024
 
 
 @dataclass(slots=True, eq=False)
@@ -117,6 +118,11 @@
             live.end()
             self.tell(ClientGone(live.id))
 
+    @property
+    def open(self) -> int:
+        """How many requests still wait for their answer."""
+        return sum(not live.over for live in self.live.values())
+
     def close(self) -> None:
         """The program ends: the module gives its word on every request that is still open."""
         for live in [live for live in self.live.values() if not live.over]:
@@ -157,8 +163,11 @@
                             self.tell(AttemptNote(live.id, number, order.engine, *news.note))
                         news = await call.news()
                     report, pages = news.report, [news.rows]
-                    for page in range(1, news.pages):
-                        pages.append(await call.page(page))
+                    while (rows := await call.further()) is not None:
+                        pages.append(rows)
+                        # a result without an end must not fill the memory
+                        if sum(map(len, pages)) > LARGEST_RESULT:
+                            raise AttemptFailed(Status.ERROR, "the result is too large")
                     status = Status.OK  # only now: a page that is lost is an error that may have run
                 except AttemptFailed as failure:
                     status, report = failure.status, failure.report
--- a/fordstair/core/deadlines.py
+++ b/fordstair/core/deadlines.py
@@ -22,14 +22,14 @@
 
     def __init__(self, clock: Callable[[], float] = now_ms) -> None:
         self.clock = clock
-        self._due: SortedDict[Ticket, Callable[[], None]] = SortedDict()
+        self._due: SortedDict[Ticket, Callable[[], object]] = SortedDict()
         self._number = 0
         self._earlier = trio.Event()
 
     def __len__(self) -> int:
         return len(self._due)
 
-    def add(self, at_ms: float, action: Callable[[], None]) -> Ticket:
+    def add(self, at_ms: float, action: Callable[[], object]) -> Ticket:
         """Run the action at the first sweep at or after that time."""
         self._number += 1
         ticket = (at_ms, self._number)
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -56,7 +56,6 @@
     """An engine's word on a query: still running, with a note perhaps, or its first page."""
 
     running: bool
-    pages: int = 0
     rows: bytes = b""
     note: tuple[NoteKind, float] | None = None
     report: tuple[float, ...] = ()
@@ -79,8 +78,8 @@
     async def news(self) -> News:
         """Ask how it stands, again and again without a long gap."""
 
-    async def page(self, number: int) -> bytes:
-        """Fetch a further page of the result, from 1."""
+    async def further(self) -> bytes | None:
+        """Fetch the next page of the result; None when there are no more."""
 
     async def drop(self) -> None:
         """Give the query up at the engine, if it may have got there; never takes long."""
--- /dev/null
+++ b/fordstair/net/engine_call.py
@@ -0,0 +1,144 @@
+"""What all engine protocols over HTTP share: one attempt, started once and asked for until it ends."""
+
+from __future__ import annotations
+
+import math
+from abc import ABC, abstractmethod
+
+import trio
+
+from cairnhoist.interface import Status
+from fordstair.core.deadlines import Deadlines
+from fordstair.core.ports import AttemptFailed, Engine, Errand, News
+from fordstair.net.http_client import Answer, Broken, ConnectFailed, Pool
+
+# An engine answers within 250 ms; one that has not by then is silent. A query must be asked for every
+# 2 s, so a silent call is given up early enough to ask again on another connection.
+SILENT_MS = 800.0
+BREAKS_MOST = 3  # connections that break in a row before the query counts as lost with its engine
+# A DELETE on another connection must not overtake the POST that it takes back.
+OVERTAKE_MS = 20.0
+DROP_MS = 600.0
+
+
+class HttpTransport:
+    """Carries attempts over a pool of connections."""
+
+    def __init__(self, pool: Pool, deadlines: Deadlines, report_fields: tuple[str, ...]) -> None:
+        self.pool, self.deadlines, self.report_fields = pool, deadlines, report_fields
+
+    def forget(self, engine: Engine) -> None:
+        """Close idle connections to an engine."""
+        self.pool.forget(engine.address)
+
+
+class HttpCall(ABC):
+    """One attempt; the protocol says what is written and how answers read."""
+
+    def __init__(self, transport: HttpTransport, errand: Errand) -> None:
+        self.pool, self.deadlines = transport.pool, transport.deadlines
+        self.fields, self.errand, self.address = transport.report_fields, errand, errand.engine.address
+        self.posted_ms = 0.0  # when the POST had gone whole; 0 before
+        self.ended = False
+
+    @abstractmethod
+    def post(self, limit_ms: int) -> tuple[str, list[tuple[str, str]], bytes]:
+        """Path, headers and body of the call that starts the query."""
+
+    @abstractmethod
+    def read(self, answer: Answer) -> News:
+        """Read the news in an answer; raise what ``end`` returns when the query has ended badly."""
+
+    @property
+    @abstractmethod
+    def path(self) -> str:
+        """Where the query is asked for and given up; empty while that is not known."""
+
+    async def start(self) -> News:
+        """POST the query; a silence after it went whole is followed by asking, never by a second POST."""
+        errand = self.errand
+        until_ms = self.deadlines.clock() + errand.limit_ms
+        try:
+            connection = await self.pool.acquire(self.address)
+        except ConnectFailed as error:
+            raise self.end(Status.CONNECT_FAILED, str(error)) from error
+        answer: Answer | None = None
+        try:
+            if not errand.may_go():  # it began to drain, or was replaced, while the connection came up
+                raise self.end(Status.MOOT, "the engine takes nothing new")
+            path, headers, body = self.post(max(1, math.ceil(until_ms - self.deadlines.clock())))
+            with self.deadlines.limit(self.deadlines.clock() + SILENT_MS):
+                answer = await connection.exchange("POST", path, headers, body)
+        except Broken as error:
+            raise self.end(Status.RESET, str(error)) from error  # proves nothing: it may have run
+        finally:
+            if connection.whole:
+                self.posted_ms = self.deadlines.clock()
+            self.pool.release(connection, self.address)
+        if answer is not None:
+            return self.read(answer)
+        if not self.posted_ms:
+            raise self.end(Status.RESET, "the engine does not read")
+        if not self.path:
+            raise self.end(Status.TIMEOUT, "the engine did not say where to ask")
+        return await self.news()
+
+    async def news(self) -> News:
+        """Ask until there is an answer; a silent machine is asked again until the attempt is given up."""
+        return self.read(await self.ask(self.path))
+
+    async def drop(self) -> None:
+        """DELETE the query once its POST went whole; bounded, since the machine may be silent."""
+        if self.ended or not self.posted_ms or not self.path:
+            return
+        with trio.CancelScope(shield=True), self.deadlines.limit(self.deadlines.clock() + DROP_MS):
+            await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
+            await self.side_call("DELETE", self.path)
+
+    async def side_call(self, method: str, path: str, body: bytes = b"") -> None:
+        """Make a call whose answer tells nothing, on another connection than the one that asks."""
+        for _ in range(2):
+            try:
+                connection = await self.pool.acquire(self.address)
+            except ConnectFailed:
+                return
+            try:
+                await connection.exchange(method, path, [], body)
+                return
+            except Broken:
+                continue
+            finally:
+                self.pool.release(connection, self.address)
+
+    async def ask(self, path: str, headers: tuple[tuple[str, str], ...] = ()) -> Answer:
+        """GET until there is an answer."""
+        breaks, fresh = 0, False
+        while True:
+            connection = None
+            try:
+                with self.deadlines.limit(self.deadlines.clock() + SILENT_MS):
+                    connection = await self.pool.acquire(self.address, fresh=fresh)
+                    return await connection.exchange("GET", path, list(headers), b"")
+            except ConnectFailed as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):  # its process has gone
+                    raise self.end(Status.RESET, str(error)) from error
+            except Broken as error:
+                breaks += 1
+                if breaks >= BREAKS_MOST:
+                    raise self.end(Status.RESET, str(error)) from error
+            finally:
+                if connection is not None:
+                    self.pool.release(connection, self.address)
+            fresh = True
+
+    def end(self, status: Status, why: str, report: tuple[float, ...] = ()) -> AttemptFailed:
+        """Note that nothing runs any more; return the error to raise."""
+        self.ended = True
+        return AttemptFailed(status, why, report)
+
+    def end_unserved(self, answer: Answer, report: tuple[float, ...] = ()) -> AttemptFailed:
+        """Return the error for a status that brings no result; only X-Unrun proves that nothing ran."""
+        status = Status.ERROR
+        if answer.text(b"x-unrun") == "1":
+            status = {503: Status.FULL, 504: Status.MOOT}.get(answer.status, Status.ERROR)
+        return self.end(status, f"status {answer.status}", report)
--- /dev/null
+++ b/tests/test_odata.py
@@ -0,0 +1,292 @@
+"""The OData front and OData engines, over sockets, alone and mixed with the platform's protocols."""
+
+from __future__ import annotations
+
+import http.client
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+import ujson
+
+from tests.standins import (
+    Answered,
+    Program,
+    RestEngine,
+    Script,
+    at_once,
+    breaks,
+    config,
+    engine,
+    never,
+    program,
+)
+from tests.test_platform import ROWS, play
+
+OPERATOR = """
+[odata]
+listen = "127.0.0.1:0"
+page_rows = 2
+result_seconds = 2
+team = "karri-energy"
+[[set]]
+name = "Settlements"
+table = "settlement_7.lines"
+columns = ["account", "period", "amount"]
+read = "settlement"
+lookup = "lookup"
+cpu_ms = 200
+need_mb = 96
+[[set]]
+name = "Readings"
+table = "readings_2.intervals"
+columns = ["meter", "started", "kwh"]
+read = "settlement"
+write = "meter-load"
+cpu_ms = 200
+need_mb = 96
+[engines]
+"""
+READING = {"meter": "m'1", "started": "2026-01-01", "kwh": 3.5}
+
+
+@asynccontextmanager
+async def appliance(tmp_path: Path, *engines: RestEngine,
+                    odata: tuple[int, ...] = ()) -> AsyncIterator[Program]:
+    """The program with both fronts; the engines at these positions are spoken to in OData."""
+    operator = tmp_path / "appliance.toml"
+    operator.write_text(OPERATOR + "".join(f'"s-{number:08x}" = "odata"\n' for number in odata))
+    told = config(*(one.address for one in engines))
+    async with program(told, "--operator", str(operator)) as node:
+        yield node
+
+
+def call(node: Program, method: str, path: str, body: object = None, **headers: str) -> tuple[int, Any, Any]:
+    """Make one HTTP call; return status, headers and JSON."""
+    connection = http.client.HTTPConnection("127.0.0.1", node.ports["odata"], timeout=30)
+    told = {name.replace("_", "-"): value for name, value in headers.items()}
+    text = None if body is None else ujson.dumps(body)
+    connection.request(method, path, text, {"Content-Type": "application/json"} | told)
+    response = connection.getresponse()
+    read = response.read()
+    connection.close()
+    kind = response.headers.get("Content-Type", "")
+    return response.status, response.headers, ujson.loads(read) if "json" in kind else read
+
+
+async def ask(node: Program, method: str, path: str, body: object = None,
+              **headers: str) -> tuple[int, Any, Any]:
+    return await trio.to_thread.run_sync(lambda: call(node, method, path, body, **headers))
+
+
+def runs(polls: int) -> Script:
+    """An OData engine: 202, so many more, then two pages by a next link."""
+    asked: Counter[str] = Counter()
+
+    async def script(one: RestEngine, method: str, path: str, headers: dict[str, str],
+                     body: bytes) -> Answered | None:
+        if method == "POST":
+            txn = ujson.loads(body)["Txn"]
+            return 202, {"Location": f"/odata/monitors/{txn}", "X-Gauges": "inflight:1;util:0.10"}, b""
+        if method == "DELETE":
+            return 204, {}, b""
+        if "page" in path:
+            return 200, {}, b'{"value":[{"x":"d","y":"e","z":"f"}]}'
+        asked[path] += 1
+        if asked[path] <= polls:
+            return 202, {}, b""
+        page = {"value": [{"x": "a", "y": "b", "z": "c"}], "@odata.nextLink": "page?n=2"}
+        return 200, {"AsyncResult": "200"}, ujson.dumps(page).encode()
+
+    return script
+
+
+async def five_rows(one: RestEngine, method: str, path: str, headers: dict[str, str],
+                    body: bytes) -> Answered | None:
+    if method == "POST":
+        return 200, {"X-Sheets": "1"}, b"".join(b"a%d\tp\t%d\n" % (n, n) for n in range(5))
+    return 204, {}, b""
+
+
+def test_one_read_from_end_to_end_and_its_statement(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with engine(runs(1)) as one, appliance(tmp_path, one, odata=(0,)) as node:
+            status, _, told = await ask(
+                node, "GET", "/odata/Settlements?$filter=account%20eq%20'it''s'&$orderby=period%20desc&$top=9"
+                             "&$select=account,amount")
+            assert status == 200 and told["value"] == [{"account": "a", "amount": "c"},
+                                                       {"account": "d", "amount": "f"}]
+            sent = ujson.loads(one.posts[0][1])
+            assert sent["Lane"] == "settlement" and sent["Statement"] == (
+                "SELECT account, period, amount FROM settlement_7.lines WHERE account = 'it''s' "
+                "ORDER BY period DESC FETCH FIRST 9 ROWS ONLY")
+            status, _, told = await ask(node, "GET", "/odata/Settlements('k')")
+            assert status == 200 and told["amount"] == "c"
+            assert (await ask(node, "GET", "/odata/"))[2]["value"][1]["name"] == "Readings"
+            assert b'Name="SettlementsRow"' in (await ask(node, "GET", "/odata/$metadata"))[2]
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("path", "status", "code"), [
+    ("/odata/Nothing", 404, "NotFound"), ("/other", 404, "NotFound"),
+    ("/odata/Settlements?$filter=secret%20eq%201", 400, "BadFilter"),
+    ("/odata/Settlements?$filter=contains(account,'%25')", 501, "NotImplemented"),
+    ("/odata/Settlements?$filter=((", 400, "BadFilter"), ("/odata/Settlements?$top=-1", 400, "BadRequest"),
+    ("/odata/Settlements?$expand=x", 501, "NotImplemented"),
+    ("/odata/Settlements?$orderby=amount;drop", 400, "BadOrder"),
+    ("/odata/Settlements?$skiptoken=0-1", 410, "ResultGone"),
+])
+def test_errors_have_their_status_and_body(tmp_path: Path, path: str, status: int, code: str) -> None:
+    async def scene() -> None:
+        async with engine() as one, appliance(tmp_path, one) as node:
+            got, headers, told = await ask(node, "GET", path)
+            assert (got, told["error"]["code"], headers["OData-Version"]) == (status, code, "4.01")
+            assert not one.posts
+
+    play(scene)
+
+
+def test_a_paged_result_that_outlives_the_clients_patience(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with engine(five_rows) as one, appliance(tmp_path, one) as node:
+            _, _, first = await ask(node, "GET", "/odata/Settlements?$count=true")
+            assert first["@odata.count"] == 5 and len(first["value"]) == 2
+            _, _, second = await ask(node, "GET", first["@odata.nextLink"])
+            assert [row["account"] for row in second["value"]] == ["a2", "a3"]
+            _, _, last = await ask(node, "GET", second["@odata.nextLink"])
+            assert len(last["value"]) == 1 and "@odata.nextLink" not in last
+            await trio.sleep(2.2)
+            status, _, told = await ask(node, "GET", first["@odata.nextLink"])
+            assert status == 410 and told["error"]["code"] == "ResultGone" and len(one.posts) == 1
+
+    play(scene)
+
+
+def test_pages_that_come_too_late_are_a_timeout_and_the_engine_is_told(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with engine(runs(10_000)) as one, appliance(tmp_path, one, odata=(0,)) as node:
+            start = time.monotonic()
+            status, headers, told = await ask(node, "GET", "/odata/Settlements", Prefer="wait=1")
+            assert status == 504 and told["error"]["code"] == "Timeout" and int(headers["Retry-After"]) >= 1
+            assert time.monotonic() - start < 10.0
+            while not one.deleted:
+                await trio.sleep(0.01)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("odata", [(), (0,)])
+def test_a_load_whose_engine_breaks_mid_batch_is_not_sent_again(
+        tmp_path: Path, odata: tuple[int, ...]) -> None:
+    async def scene() -> None:
+        async with engine(breaks) as one, appliance(tmp_path, one, odata=odata) as node:
+            part = {"id": "1", "method": "POST", "url": "Readings", "body": READING,
+                    "headers": {"Repeatability-Request-ID": "r-1"}}
+            for _ in range(2):  # the client sends the whole batch again
+                status, _, told = await ask(node, "POST", "/odata/$batch", {"requests": [part]})
+                assert status == 200 and told["responses"][0]["status"] == 502
+            assert len(one.posts) == 1
+
+    play(scene)
+
+
+def test_a_client_that_drops_mid_batch_starts_nothing_more(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with engine(never) as one, appliance(tmp_path, one) as node:
+            parts = [{"id": str(n), "method": "POST", "url": "Readings", "body": READING} for n in range(3)]
+            body = ujson.dumps({"requests": parts}).encode()
+            stream = await trio.open_tcp_stream("127.0.0.1", node.ports["odata"])
+            await stream.send_all(
+                b"POST /odata/$batch HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            while not one.posts:
+                await trio.sleep(0.01)
+            await stream.aclose()
+            while not one.deleted:
+                await trio.sleep(0.01)
+            assert await node.stop() == 0 and len(one.posts) == 1
+            assert any("sent.meter-load=1 " in line + " " for line in node.log)
+
+    play(scene)
+
+
+def test_a_batch_answers_part_by_part(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with engine() as one, appliance(tmp_path, one) as node:
+            parts = [{"id": "a", "method": "POST", "url": "Readings", "body": READING},
+                     {"id": "b", "method": "GET", "url": "/odata/Settlements"},
+                     {"id": "c", "method": "GET", "url": "Nothing"},
+                     {"id": "d", "method": "GET", "url": "Settlements", "dependsOn": ["c"]}]
+            _, _, told = await ask(node, "POST", "/odata/$batch", {"requests": parts})
+            assert [part["status"] for part in told["responses"]] == [201, 200, 404, 424]
+            assert told["responses"][0]["headers"]["location"] == "/odata/Readings('m%27%271')"
+            assert one.posts[0][1] == (b"INSERT INTO readings_2.intervals (meter, started, kwh) "
+                                       b"VALUES ('m''1', '2026-01-01', '3.5')")
+
+    play(scene)
+
+
+def test_a_refusal_says_when_to_come_back(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with appliance(tmp_path) as node:  # no engine at all: nothing can run
+            status, headers, told = await ask(node, "POST", "/odata/Readings", READING)
+            assert (status, told["error"]["code"]) == (503, "Overloaded") and int(headers["Retry-After"]) >= 1
+
+    play(scene)
+
+
+@pytest.mark.parametrize("script", ["served", "silent", "broken"])
+def test_both_protocols_get_the_same_answers_at_the_same_time(tmp_path: Path, script: str) -> None:
+    """Each kind of client asks the same of the same engines, one of which expects OData."""
+    scripts: dict[str, tuple[Script, Script]] = {
+        "served": (at_once, runs(0)), "silent": (never, runs(10_000)), "broken": (breaks, breaks)}
+
+    async def scene() -> None:
+        rest, odata = scripts[script]
+        async with (engine(rest) as one, engine(odata) as two,
+                    appliance(tmp_path, one, two, odata=(1,)) as node):
+            counts: dict[str, Counter[str]] = {"msgpack": Counter(), "odata": Counter()}
+            took: dict[tuple[str, str], list[float]] = {}
+
+            async def by_msgpack(number: int, lane: str) -> None:
+                client, start = await node.client(), time.monotonic()
+                asked = await client.ask(lane, limit="1000", txn=f"{number:016x}")
+                error, result = await client.answer(asked)
+                assert error or result == ROWS
+                counts["msgpack"][{"Overloaded": "refused", "Internal": "failed"}[error[0]] if error
+                                  else "served"] += 1
+                took.setdefault(("msgpack", lane), []).append(time.monotonic() - start)
+
+            async def by_odata(number: int, lane: str) -> None:
+                start = time.monotonic()
+                if lane == "meter-load":
+                    status, headers, _ = await ask(node, "POST", "/odata/Readings", READING, Prefer="wait=1")
+                else:
+                    status, headers, told = await ask(node, "GET", "/odata/Settlements", Prefer="wait=1")
+                    assert status != 200 or len(told["value"]) == 2
+                counts["odata"]["served" if status < 300 else "refused" if "Retry-After" in headers
+                                else "failed"] += 1
+                took.setdefault(("odata", lane), []).append(time.monotonic() - start)
+
+            async with trio.open_nursery() as nursery:
+                for number, lane in enumerate(("settlement", "meter-load") * 4):
+                    nursery.start_soon(by_msgpack, number, lane)
+                    nursery.start_soon(by_odata, number, lane)
+            expected = {"served": {"served": 8}}.get(script, {"refused": 4, "failed": 4})
+            assert counts["msgpack"] == counts["odata"] == Counter(expected)
+            for (_, lane), times in took.items():
+                assert len(times) == 4 and max(times) < 10.0
+                # a load that may run has only its deadline to end it; a read may be moved and refused before
+                assert script != "silent" or lane != "meter-load" or min(times) > 0.8
+            loads = [headers.get("x-txn") or ujson.loads(body)["Txn"] for headers, body in
+                     (*one.posts, *two.posts) if "meter-load" in (headers.get("x-lane", ""), body.decode())
+                     or b"meter-load" in body]
+            assert len(loads) == len(set(loads)) == 8  # each once
+
+    play(scene)
