--- a/fordstair/__main__.py
+++ b/fordstair/__main__.py
@@ -84,14 +84,14 @@
             if self.config.channel:
                 nursery.start_soon(Membership(self.config.channel, self.config.cursor, self.members,
                                               self.deadlines, self.counters).run)
+            if self.operator is not None and self.operator.console:
+                admin = Admin(self.config.name, self.coordinator, self.stop.set)
+                await nursery.start(admin.run, self.operator.console)
             accepting = [trio.CancelScope()]
             nursery.start_soon(self.accept, "listens", self.config.listen, self.rpc.serve, accepting[0])
             if self.operator is not None and self.odata is not None:
                 accepting.append(trio.CancelScope())
                 nursery.start_soon(self.accept, "odata", self.operator.listen, self.serve_odata, accepting[1])
-                if self.operator.console:
-                    admin = Admin(self.config.name, self.coordinator, self.stop.set)
-                    await nursery.start(admin.run, self.operator.console)
             if self.identity is not None:
                 self.identity.watch()
             nursery.start_soon(self.signals)
--- a/fordstair/core/statements.py
+++ b/fordstair/core/statements.py
@@ -4,7 +4,7 @@
 
 import re
 
-_SKIPPED = r"'(?:[^']|'')*'|--[^\n]*|\$(?P<tag>\w*)\$.*?\$(?P=tag)\$"
+_SKIPPED = r"'(?:[^']|'')*(?:'|\Z)|--[^\n]*|\$(?P<tag>\w*)\$.*?\$(?P=tag)\$"
 _NAME = r'(?:"(?P<quoted>[^"]+)"|(?P<plain>[A-Za-z_]\w*))'
 _TOKEN = re.compile(rf"{_SKIPPED}|/\*|{_NAME}|(?P<mark>[.,()])|\d[\w.]*|\S", re.S)
 _COMMENT_EDGE = re.compile(r"/\*|\*/")
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,134 @@
+"""Parsers against random cuts of valid messages and random garbage."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cairnhoist.interface import EngineState
+from fordstair.config import ConfigError, flatten, parse
+from fordstair.core.statements import table_group
+from fordstair.net.membership import FrameError, read_frame, read_records
+from fordstair.net.messagepack import Incomplete, Malformed, read
+from fordstair.net.odata_model import EntitySet, ODataError, understand
+from fordstair.net.rest_engine import parse_note, parse_report
+from tests.standins import SETTINGS, config
+
+many = settings(max_examples=150, derandomize=True, deadline=None)
+plain = st.none() | st.booleans() | st.integers(-2**63, 2**64 - 1) | st.floats(allow_nan=False) | st.binary(
+    max_size=300)
+values = st.recursive(plain, lambda inner: st.lists(inner, max_size=20) | st.dictionaries(
+    st.binary(max_size=5), inner, max_size=20), max_leaves=30)
+SETS = {"S": EntitySet("S", "s_1.t", ("a", "b"), "lookup", "lookup")}
+
+
+def whole(value: Any) -> Any:
+    """Copy slices out."""
+    if isinstance(value, memoryview):
+        return bytes(value)
+    if isinstance(value, list):
+        return [whole(item) for item in value]
+    return {whole(k): whole(v) for k, v in value.items()} if isinstance(value, dict) else value
+
+
+@many
+@given(values, st.data())
+def test_messagepack_agrees_with_the_library_and_knows_every_cut(value: Any, data: Any) -> None:
+    packed = msgpack.packb(value)
+    assert whole(read(memoryview(packed))[0]) == msgpack.unpackb(packed, strict_map_key=False)
+    cut = data.draw(st.integers(0, len(packed) - 1))
+    with pytest.raises(Incomplete) as short:
+        read(memoryview(packed[:cut]))
+    assert cut < short.value.needed <= len(packed)
+
+
+@many
+@given(st.binary(max_size=200))
+def test_garbage_is_a_value_incomplete_or_malformed(garbage: bytes) -> None:
+    try:
+        _, end = read(memoryview(garbage))
+        assert 0 < end <= len(garbage)
+    except (Incomplete, Malformed):
+        pass
+    try:
+        if (frame := read_frame(memoryview(garbage))) is not None:
+            read_records(frame[2])
+    except FrameError:
+        pass
+    text = garbage.decode("latin-1")
+    assert len(parse_report(text, ("util", "inflight"))) in (0, 2)
+    parse_note(text[:1], text[1:])
+    assert table_group(text) >= 0.0
+
+
+@pytest.mark.parametrize("data", [b"\x91" * 20 + b"\xc0", b"\xdd\xff\xff\xff\xff", b"\x81\x90\xc0", b"\xc1"])
+def test_bounds_of_messagepack(data: bytes) -> None:
+    with pytest.raises(Malformed):
+        read(memoryview(data))
+
+
+@many
+@given(st.lists(st.tuples(st.integers(0, 2**64 - 1), st.integers(0, 2)), min_size=1, max_size=6),
+       st.integers(1, 40))
+def test_frames_survive_any_cut(events: list[tuple[int, int]], size: int) -> None:
+    record = struct.pack(">I4sHBBBHIQ", 0xC41F7A, bytes((10, 1, 0, 9)), 6565, 1, 2, 0, 3, 4000, 77)
+    stream = b"".join(struct.pack(">IQB", 9 + 27 * bool(kind), number, kind) + record * bool(kind)
+                      for number, kind in events)
+    seen, buffer = [], b""
+    for at in range(0, len(stream), size):
+        buffer += stream[at:at + size]
+        while (frame := read_frame(memoryview(buffer))) is not None:
+            number, kind, payload, length = frame
+            seen.append((number, kind))
+            for engine in read_records(payload):
+                entry = engine.entry
+                assert (entry.engine, entry.state, engine.address) == (
+                    "s-00c41f7a", EngineState.DRAINING, "10.1.0.9:6565")
+                assert (entry.zone, entry.cell, entry.weight, entry.started_ms) == (2, 3, 4.0, 77.0)
+            buffer = buffer[length:]
+    assert seen == events and not buffer
+
+
+@pytest.mark.parametrize(("statement", "group"), [
+    ("SELECT * FROM sales_17.orders", 17), ("select 'a_3.b' from x_4.y", 4),
+    ("-- from q_1.z\nselect 1 from staging.a join q_2.b on 1=1", 2),
+    ("INSERT INTO staging.t SELECT * FROM m_9.k", 9), ("INSERT INTO m_9.k SELECT * FROM staging.t", 9),
+    ("/* from a_1.b /* x */ from a_2.c */ select t_1.x, 'it''s from z_8.q' from \"real_5\".\"o\" t_1", 5),
+    ("update  w_12 . t set x=1", 12), ("select 1", 0), ("select a.x from staging.q a, big_7.t b", 7),
+    ("select t_1.a from staging.x t_1 join foo_44.b using (c)", 44), ("select 'unclosed from a_6.b", 0),
+    ("with c as (select * from r_8.x) select t_1.a from c t_1", 8), ("select t_3.a from s_4.b as t_3", 4)])
+def test_group_of_tables(statement: str, group: float) -> None:
+    assert table_group(statement) == group
+
+
+@many
+@given(st.text(max_size=60), st.sampled_from(["$filter", "$orderby", "$top", "$skip", "$select", "$count"]))
+def test_options_are_understood_or_refused(text: str, option: str) -> None:
+    try:
+        assert understand("S", {option: text}, SETS).statement.startswith("SELECT a, b FROM s_1.t")
+    except ODataError as error:
+        assert error.status in (400, 501)
+
+
+def test_settings_are_flattened_as_the_modules_reader_takes_them() -> None:
+    assert dict(flatten({"a": {"b": [1, 2], "c": [{"d": True}]}, "e": "x, y"})) == {
+        "a.b": "1,2", "a.c.count": "1", "a.c.0.d": "true", "e": "x__y"}
+    told = parse(config("127.0.0.1:1"))
+    assert [spec.threads for spec in told.settings.classes] == [1, 4, 2] and told.connect_timeout_ms == 250.0
+    assert told.known[0][1][0].entry.engine == "s-00000000"
+
+
+@pytest.mark.parametrize(("change", "named"), [
+    ({"listen": "nowhere"}, "listen"), ({"settings": 7}, "settings"),
+    ({"limits": {"sockets": "x"}}, "limits.sockets"),
+    ({"known": {"cmds": [{}]}}, "known.cmds"), ({"seed": "zz"}, "seed"), ({"channel": "x"}, "channel"),
+    ({"settings": SETTINGS | {"instances": "many"}}, "instances")])
+def test_a_configuration_that_cannot_be_used_names_its_field(change: dict[str, Any], named: str) -> None:
+    with pytest.raises(ConfigError, match=named) as error:
+        parse(config() | change)
+    assert "\n" not in str(error.value)
