--- a/tests/test_failings.py
+++ b/tests/test_failings.py
@@ -37,22 +37,26 @@
         self.streams: list[trio.SocketStream] = []
         self.frames: list[bytes] = []
         self.beats = True
+        self.lock = trio.Lock()  # a beat and a frame of the test must not be written at once
 
     async def serve(self, stream: trio.SocketStream) -> None:
         self.cursors.append(int.from_bytes(await stream.receive_some(8), "big"))
         self.streams.append(stream)
         try:
             for one in self.frames:
-                await stream.send_all(one)
+                async with self.lock:
+                    await stream.send_all(one)
             while True:
                 if self.beats:
-                    await stream.send_all(frame(0, kind=0))
+                    async with self.lock:
+                        await stream.send_all(frame(0, kind=0))
                 await trio.sleep(0.2)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
     async def tell(self, one: bytes) -> None:
-        await self.streams[-1].send_all(one)
+        async with self.lock:
+            await self.streams[-1].send_all(one)
 
     async def connected(self, times: int) -> None:
         while len(self.streams) < times:
