Bound kept results by memory, and keep faults of one peer from ending the program

By reading: 64 kept results of many short rows could take over 200 MB (now 32 MB together, the oldest goes); an unforeseen fault in a priority call, the channel, the console or a handshake would have cancelled the whole nursery. Each now ends with its own connection.

--- a/fordstair/__main__.py
+++ b/fordstair/__main__.py
@@ -103,9 +103,12 @@
     async def serve_odata(self, stream: trio.SocketStream) -> None:
         """Serve an OData client, after its handshake where there are identities."""
         assert self.odata is not None
-        secured = stream if self.identity is None else await self.identity.secure(stream)
-        if secured is not None:
-            await self.odata.serve(secured)
+        try:
+            secured = stream if self.identity is None else await self.identity.secure(stream)
+            if secured is not None:
+                await self.odata.serve(secured)
+        except Exception:  # one client's handshake must not end the others' connections
+            log.exception("an OData connection broke")
 
     async def signals(self) -> None:
         """SIGUSR1 prints the counters; SIGTERM and SIGINT end the program."""
@@ -147,6 +150,7 @@
     parser = argparse.ArgumentParser(prog="fordstair", description="Run one coordinator.")
     parser.add_argument("--operator", metavar="FILE", help="the operator's file: OData, identities, console")
     told = parser.parse_args()
+    logging.getLogger("odata_query").setLevel(logging.ERROR)  # it warns of each property without a type
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", stream=sys.stderr)
     try:
         program = Program(load(), load_operator(told.operator) if told.operator else None)
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -257,4 +257,11 @@
             return
         live.urgency = urgency
         if live.call is not None and self._nursery is not None:
-            self._nursery.start_soon(live.call.hurry, urgency)
+            self._nursery.start_soon(self._hurry, live.call, urgency)
+
+    async def _hurry(self, call: Call, urgency: int) -> None:
+        """Pass a priority on; a fault in that must not take down the requests."""
+        try:
+            await call.hurry(urgency)
+        except Exception:
+            log.exception("a priority was not passed on")
--- a/fordstair/net/admin.py
+++ b/fordstair/net/admin.py
@@ -61,6 +61,8 @@
                         return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+        except Exception:  # the console must not be able to end the program but by its drain
+            log.exception("a console's connection broke")
 
     def answer(self, line: bytes) -> dict[str, Any]:
         """Return the answer to one line."""
--- a/fordstair/net/membership.py
+++ b/fordstair/net/membership.py
@@ -91,6 +91,8 @@
                 await self._follow()
             except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, FrameError) as error:
                 log.info("command channel: %s", error)
+            except Exception:  # news that breaks something here must not end the program with it
+                log.exception("command channel")
             self.counters.add("channel.breaks")
             await self.deadlines.sleep(AGAIN_MS)
 
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/odata_front.py
@@ -38,6 +38,8 @@
 BATCH_MOST = 100
 IDLE_MS = 30_000.0
 AT_DEADLINE_MS = 50.0  # an answer that close to the deadline came because of it
+RESULTS_BYTES = 32 * 1024 * 1024  # of all kept rows together, within the limit on memory
+ROW_BYTES = 64  # what a row takes beyond its text
 REPEATS_MOST, REPEAT_MS = 4_096, 600_000.0
 _WAIT = re.compile(r"(?:^|[,;\s])wait=(\d{1,6})(?:$|[,;\s])")
 _PAGE = re.compile(r"(?:odata\.)?maxpagesize=(\d{1,6})")
@@ -89,6 +91,11 @@
     select: tuple[str, ...]
     page_rows: int
 
+    @property
+    def size(self) -> int:
+        """The memory that its rows take."""
+        return sum(map(len, self.rows)) + ROW_BYTES * len(self.rows)
+
 
 class Results:
     """Paged results: bounded in number, and forgotten after a while."""
@@ -104,8 +111,9 @@
         """Keep a result; the oldest makes room. Return its name."""
         name = secrets.token_hex(16)
         self._kept[name] = result
-        while len(self._kept) > self.most:
-            self._kept.popitem(last=False)
+        kept_bytes = sum(each.size for each in self._kept.values())
+        while len(self._kept) > self.most or (kept_bytes > RESULTS_BYTES and len(self._kept) > 1):
+            kept_bytes -= self._kept.popitem(last=False)[1].size
         deadlines = self.coordinator.deadlines
         deadlines.add(deadlines.clock() + self.keep_ms, partial(self._kept.pop, name, None))
         return name
--- a/tests/test_odata.py
+++ b/tests/test_odata.py
@@ -14,6 +14,9 @@
 import trio
 import ujson
 
+from fordstair.core.deadlines import Deadlines
+from fordstair.net.odata_front import Result, Results
+from fordstair.net.odata_model import EntitySet, ODataError
 from tests.standins import (
     Answered,
     Program,
@@ -168,6 +171,23 @@
     play(scene)
 
 
+def test_kept_results_stay_within_their_number_and_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """64 results of many short rows would have passed the limit on memory."""
+    class Host:
+        deadlines = Deadlines()
+
+    one = EntitySet("S", "s.t", ("a",), "lookup", "lookup")
+    kept = Results(3, 1000.0, Host())  # type: ignore[arg-type]
+    names = [kept.keep(Result("t", [b"x"] * 10, one, ("a",), 2)) for _ in range(5)]
+    assert len(kept) == 3 and kept.page(names[-1] + "-2", "t")[1] == 2
+    for token, team in ((names[0] + "-2", "t"), (names[-1] + "-2", "other"), (names[-1] + "-10", "t")):
+        with pytest.raises(ODataError):
+            kept.page(token, team)
+    monkeypatch.setattr("fordstair.net.odata_front.RESULTS_BYTES", 1000)
+    kept.keep(Result("t", [b"x"] * 10, one, ("a",), 2))
+    assert len(kept) == 1
+
+
 def test_pages_that_come_too_late_are_a_timeout_and_the_engine_is_told(tmp_path: Path) -> None:
     async def scene() -> None:
         async with engine(runs(10_000)) as one, appliance(tmp_path, one, odata=(0,)) as node:
