--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -19,6 +19,7 @@
 # A DELETE on another connection must not overtake the POST that it takes back.
 OVERTAKE_MS = 20.0
 DROP_MS = 600.0
+AGAIN_MS = 50.0
 
 
 class HttpTransport:
@@ -122,6 +123,7 @@
             except ConnectFailed as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):  # its process has gone
                     raise self.end(Status.RESET, str(error)) from error
+                await self.deadlines.sleep(AGAIN_MS)  # an error that comes at once must not spin
             except Broken as error:
                 breaks += 1
                 if breaks >= BREAKS_MOST:
