Ask by id after a broken answer, give up what may run, and reload on SIGHUP

Cause: HttpCall.start and HttpCall.ask ended an attempt as RESET at once, with ended = True, so that nothing was deleted and the module sent the next attempt while the first one still ran. Pages whose Content-Length was too small were taken as they came, and Connection.reusable did not look at what h11 held after an answer. No handler stood for SIGHUP.

Now what cannot be the answer to its call (spoilt, cut, without a length, rows that are not whole, another page) is asked for by id on a fresh connection; what may still run is deleted before the next attempt. SIGHUP reads the file anew, checks it whole, and moves the command channel to the new address from the same number.

--- a/fordstair/__main__.py
+++ b/fordstair/__main__.py
@@ -8,6 +8,7 @@
 import ssl
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import trio
 
@@ -43,21 +44,21 @@
         self.identity: Identity | None = None
         if operator is not None and operator.identity:
             self.identity = Identity(read_files(operator.identity), self.deadlines, self.counters)
-        clients_most = config.sockets // 3
-        self.pool = Pool(self.deadlines, self.counters, size=config.sockets - clients_most - SPARE_SOCKETS,
-                         connect_ms=config.connect_timeout_ms, idle_ms=config.idle_ms, tls=self.tls,
+        self.pool = Pool(self.deadlines, self.counters, tls=self.tls,
                          accept=self.identity.check_engine if self.identity else lambda *_: None)
         transport = (self.pool, self.deadlines, config.settings.report_fields)
         transports: dict[str, Transport] = {
             "rest": RestTransport(*transport), "odata": ODataTransport(*transport)}
         self.coordinator = Coordinator(
             config.settings, config.seed, transports, self.deadlines, self.counters)
-        rpc_most = clients_most if operator is None else clients_most // 2
-        self.rpc = RpcFront(self.coordinator, rpc_most)
+        self.rpc = RpcFront(self.coordinator)
         self.odata: ODataFront | None = None
         if operator is not None:
             team_of = self.identity.team_of if self.identity else lambda _: None
-            self.odata = ODataFront(self.coordinator, operator, clients_most - rpc_most, team_of)
+            self.odata = ODataFront(self.coordinator, operator, team_of)
+        self.bound()
+        self.membership = Membership(
+            config.channel, config.cursor, self.members, self.deadlines, self.counters)
         self.stop = trio.Event()
 
     def tls(self, address: str) -> ssl.SSLContext | None:
@@ -75,15 +76,14 @@
 
     async def run(self) -> None:
         """Run until SIGTERM, or the console's drain, has been followed by the last answer."""
-        for kind, engines in self.config.known:
+        for _, kind, engines in self.config.known:
             self.members(kind, engines)
         self.pool.tidy()
         async with trio.open_nursery() as nursery:
+            await nursery.start(self.signals)
             nursery.start_soon(self.deadlines.run)
             await nursery.start(self.coordinator.run)
-            if self.config.channel:
-                nursery.start_soon(Membership(self.config.channel, self.config.cursor, self.members,
-                                              self.deadlines, self.counters).run)
+            nursery.start_soon(self.membership.run)
             if self.operator is not None and self.operator.console:
                 admin = Admin(self.config.name, self.coordinator, self.stop.set)
                 await nursery.start(admin.run, self.operator.console)
@@ -94,7 +94,6 @@
                 nursery.start_soon(self.accept, "odata", self.operator.listen, self.serve_odata, accepting[1])
             if self.identity is not None:
                 self.identity.watch()
-            nursery.start_soon(self.signals)
             await self.stop.wait()
             await self.drain(accepting)
             nursery.cancel_scope.cancel()
@@ -110,15 +109,46 @@
         except Exception:  # one client's handshake must not end the others' connections
             log.exception("an OData connection broke")
 
-    async def signals(self) -> None:
-        """SIGUSR1 prints the counters; SIGTERM and SIGINT end the program."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+    async def signals(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """SIGHUP reads the configuration anew, SIGUSR1 prints the counters, SIGTERM and SIGINT end it."""
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+        with trio.open_signal_receiver(*wanted) as signals:
+            task_status.started()
             async for number in signals:
-                if number == signal.SIGUSR1:
+                if number == signal.SIGHUP:
+                    self.reload()
+                elif number == signal.SIGUSR1:
                     log.info("%s", self.counters.line())
                 else:
                     self.stop.set()
 
+    def reload(self) -> None:
+        """Read the configuration anew, check it whole, and apply what can change; a bad one changes none."""
+        try:
+            config = load()
+        except Exception as error:  # whatever is wrong with a file must not end the program
+            self.counters.add("config.refused")
+            return log.error("the configuration stays as it was: %s", " ".join(str(error).split()))
+        fixed = ("name", "listen", "settings")
+        if lasting := [name for name in fixed if getattr(config, name) != getattr(self.config, name)]:
+            log.warning("takes effect at the next start only: %s", ", ".join(lasting))
+        self.config = replace(config, **{name: getattr(self.config, name) for name in fixed})
+        self.bound()
+        for event in config.known:
+            self.membership.take(*event)
+        self.membership.move(config.channel)
+        self.counters.add("config.reloads")
+        log.info("the configuration was read anew; command channel %s", config.channel or "none")
+
+    def bound(self) -> None:
+        """Share the limit on sockets out among clients and engines, and set the times for connections."""
+        clients_most = self.config.sockets // 3
+        self.pool.resize(self.config.sockets - clients_most - SPARE_SOCKETS)
+        self.pool.connect_ms, self.pool.idle_ms = self.config.connect_timeout_ms, self.config.idle_ms
+        self.rpc.clients_most = clients_most if self.odata is None else clients_most // 2
+        if self.odata is not None:
+            self.odata.clients_most = clients_most - self.rpc.clients_most
+
     async def accept(self, name: str, listen: tuple[str, int],
                      serve: Callable[[trio.SocketStream], Awaitable[None]], scope: trio.CancelScope) -> None:
         """Accept clients until the scope is cancelled; their connections outlive it."""
--- a/fordstair/config.py
+++ b/fordstair/config.py
@@ -31,7 +31,7 @@
     memory_mb: float
     channel: str
     cursor: int
-    known: tuple[tuple[ListKind, list[Engine]], ...]
+    known: tuple[tuple[int, ListKind, list[Engine]], ...]  # events: number, kind, engines
     settings: Settings
     connect_timeout_ms: float
     idle_ms: float
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -172,10 +172,10 @@
                 except AttemptFailed as failure:
                     status, report = failure.status, failure.report
                     log.debug("%s at %s: %s: %s", query.txn, order.engine, status.value, failure)
-            if live.scope.cancelled_caught:
+            if live.scope.cancelled_caught and self.deadlines.clock() >= sent_ms + limit_ms:
+                status = Status.TIMEOUT
+            if status is not Status.OK:  # what may still run must be given up before the next attempt
                 await call.drop()
-                if self.deadlines.clock() >= sent_ms + limit_ms:
-                    status = Status.TIMEOUT
             live.scope, live.call = None, None
             self.counters.add(f"outcome.{status.value}")
             if status is Status.OK:
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -4,23 +4,27 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import TypeVar
 
 import trio
 
 from cairnhoist.interface import Status
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import AttemptFailed, Engine, Errand, News
-from fordstair.net.http_client import Answer, Broken, ConnectFailed, Pool
+from fordstair.net.http_client import Answer, Broken, ConnectFailed, Connection, Pool
 
 # An engine answers within 250 ms; one that has not by then is silent. A query must be asked for every
 # 2 s, so a silent call is given up early enough to ask again on another connection.
 SILENT_MS = 800.0
-BREAKS_MOST = 3  # connections that break in a row before the query counts as lost with its engine
+BREAKS_MOST = 6  # broken answers in a row before the query counts as lost with its engine
 # A DELETE on another connection must not overtake the POST that it takes back.
 OVERTAKE_MS = 20.0
 DROP_MS = 600.0
 AGAIN_MS = 50.0
 
+T = TypeVar("T")
+
 
 class HttpTransport:
     """Carries attempts over a pool of connections."""
@@ -36,6 +40,8 @@
 class HttpCall(ABC):
     """One attempt; the protocol says what is written and how answers read."""
 
+    headers: list[tuple[str, str]] = []  # of each call that asks
+
     def __init__(self, transport: HttpTransport, errand: Errand) -> None:
         self.pool, self.deadlines = transport.pool, transport.deadlines
         self.fields, self.errand, self.address = transport.report_fields, errand, errand.engine.address
@@ -48,45 +54,55 @@
 
     @abstractmethod
     def read(self, answer: Answer) -> News:
-        """Read the news in an answer; raise what ``end`` returns when the query has ended badly."""
+        """Read the news in an answer; raise what ``end`` returns when the query has ended badly.
+
+        What cannot be the answer to this call raises Broken.
+        """
 
     @property
     @abstractmethod
     def path(self) -> str:
         """Where the query is asked for and given up; empty while that is not known."""
 
+    @property
+    def news_path(self) -> str:
+        """Where its news is."""
+        return self.path
+
     async def start(self) -> News:
-        """POST the query; a silence after it went whole is followed by asking, never by a second POST."""
+        """POST the query; what is no answer, once it went whole, is followed by asking, never by a POST."""
         errand = self.errand
         until_ms = self.deadlines.clock() + errand.limit_ms
         try:
             connection = await self.pool.acquire(self.address)
         except ConnectFailed as error:
             raise self.end(Status.CONNECT_FAILED, str(error)) from error
-        answer: Answer | None = None
+        why = "silence"
         try:
             if not errand.may_go():  # it began to drain, or was replaced, while the connection came up
                 raise self.end(Status.MOOT, "the engine takes nothing new")
             path, headers, body = self.post(max(1, math.ceil(until_ms - self.deadlines.clock())))
             with self.deadlines.limit(self.deadlines.clock() + SILENT_MS):
                 answer = await connection.exchange("POST", path, headers, body)
+                return self._read(connection, answer, self.read)
         except Broken as error:
-            raise self.end(Status.RESET, str(error)) from error  # proves nothing: it may have run
+            why = str(error)
         finally:
             if connection.whole:
                 self.posted_ms = self.deadlines.clock()
             self.pool.release(connection, self.address)
-        if answer is not None:
-            return self.read(answer)
-        if not self.posted_ms:
-            raise self.end(Status.RESET, "the engine does not read")
+        if not self.posted_ms:  # it never came whole, so nothing is out; for a load that is no proof yet
+            raise self.end(Status.RESET, f"the engine does not read: {why}")
         if not self.path:
-            raise self.end(Status.TIMEOUT, "the engine did not say where to ask")
-        return await self.news()
+            raise AttemptFailed(Status.RESET, f"the engine did not say where to ask: {why}")
+        # The query may run. Another attempt now would be a second one beside it, and its end, which the
+        # engine tells again under its id, would be lost.
+        self.pool.counters.add("engine.asked_anew")
+        return await self.ask(self.news_path, self.read)
 
     async def news(self) -> News:
         """Ask until there is an answer; a silent machine is asked again until the attempt is given up."""
-        return self.read(await self.ask(self.path))
+        return await self.ask(self.news_path, self.read)
 
     async def drop(self) -> None:
         """DELETE the query once its POST went whole; bounded, since the machine may be silent."""
@@ -98,7 +114,7 @@
 
     async def side_call(self, method: str, path: str, body: bytes = b"") -> None:
         """Make a call whose answer tells nothing, on another connection than the one that asks."""
-        for _ in range(2):
+        for _ in range(BREAKS_MOST):
             try:
                 connection = await self.pool.acquire(self.address)
             except ConnectFailed:
@@ -111,28 +127,43 @@
             finally:
                 self.pool.release(connection, self.address)
 
-    async def ask(self, path: str, headers: tuple[tuple[str, str], ...] = ()) -> Answer:
-        """GET until there is an answer."""
+    async def ask(self, path: str, read: Callable[[Answer], T]) -> T:
+        """GET until there is an answer that can be read.
+
+        Whatever comes spoilt, cut or not at all proves nothing and tells nothing of the query, which the
+        engine keeps under its id: it is asked for anew on a fresh connection.
+        """
         breaks, fresh = 0, False
         while True:
             connection = None
             try:
                 with self.deadlines.limit(self.deadlines.clock() + SILENT_MS):
                     connection = await self.pool.acquire(self.address, fresh=fresh)
-                    return await connection.exchange("GET", path, list(headers), b"")
+                    answer = await connection.exchange("GET", path, self.headers, b"")
+                    return self._read(connection, answer, read)
             except ConnectFailed as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):  # its process has gone
                     raise self.end(Status.RESET, str(error)) from error
                 await self.deadlines.sleep(AGAIN_MS)  # an error that comes at once must not spin
             except Broken as error:
                 breaks += 1
+                self.pool.counters.add("engine.broken_answers")
                 if breaks >= BREAKS_MOST:
-                    raise self.end(Status.RESET, str(error)) from error
+                    raise AttemptFailed(Status.RESET, str(error)) from error
             finally:
                 if connection is not None:
                     self.pool.release(connection, self.address)
             fresh = True
 
+    @staticmethod
+    def _read(connection: Connection, answer: Answer, read: Callable[[Answer], T]) -> T:
+        """Read an answer; a connection that has brought what is none carries no further call."""
+        try:
+            return read(answer)
+        except Broken:
+            connection.spoilt = True
+            raise
+
     def end(self, status: Status, why: str, report: tuple[float, ...] = ()) -> AttemptFailed:
         """Note that nothing runs any more; return the error to raise."""
         self.ended = True
--- a/fordstair/net/http_client.py
+++ b/fordstair/net/http_client.py
@@ -7,7 +7,7 @@
 import ssl
 import struct
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import h11
@@ -17,7 +17,7 @@
 from fordstair.core.deadlines import Deadlines
 
 READ_BYTES = 16_384
-LARGEST_ANSWER = 4 * 1024 * 1024
+LARGEST_ANSWER = 1024 * 1024
 IDLE_MARGIN_MS = 1_000.0  # closed here before the engine closes it: a POST must not cross such a close
 _ABORT = struct.pack("ii", 1, 0)
 
@@ -49,12 +49,13 @@
     def __init__(self, sock: trio.socket.SocketType, stream: trio.abc.Stream, host: str) -> None:
         self.sock, self.stream, self.host = sock, stream, host
         self.idle_since = 0.0
-        self.begun = self.whole = False  # of the current call: bytes may be out; all of them are
+        self.whole = False  # whether all bytes of the current call are out
+        self.spoilt = False  # something came that does not belong to a call: no further one may go out
         self._h11 = h11.Connection(h11.CLIENT)
 
     async def exchange(self, method: str, path: str, headers: list[tuple[str, str]], body: bytes) -> Answer:
         """Make one call; the caller bounds its time."""
-        self.begun = self.whole = False
+        self.whole = False
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         fields = [("Host", self.host), *headers]
@@ -65,11 +66,11 @@
             if body:
                 out += self._h11.send(h11.Data(data=body)) or b""
             out += self._h11.send(h11.EndOfMessage()) or b""
-            self.begun = True
             await self.stream.send_all(out)
             self.whole = True
             return await self._answer()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, ssl.SSLError) as error:
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, ssl.SSLError,
+                ValueError) as error:
             raise Broken(str(error) or type(error).__name__) from error
 
     async def _answer(self) -> Answer:
@@ -80,6 +81,8 @@
                 self._h11.receive_data(await self.stream.receive_some(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status, headers = event.status_code, dict(event.headers)
+                if status != 204:
+                    self._bound(headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
@@ -90,11 +93,23 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise Broken("closed before an answer")
 
+    @staticmethod
+    def _bound(headers: Mapping[bytes, bytes]) -> None:
+        """Guard against an answer that claims gigabytes, and one whose cut could not be told from its end."""
+        length = headers.get(b"content-length")
+        if length is not None and int(length) > LARGEST_ANSWER:
+            raise Broken(f"the answer claims {int(length)} bytes")
+        if length is None and b"transfer-encoding" not in headers:
+            raise Broken("the answer does not say where it ends")
+
     @property
     def reusable(self) -> bool:
-        """Whether a further call may go out on it; bytes or an end that came unasked say no."""
+        """Whether a further call may go out on it; bytes or an end that came unasked say no.
+
+        What h11 holds after an answer, a second copy say, would be read as the answer of the next call.
+        """
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        return done and not self.sock.is_readable()
+        return done and not (self.spoilt or self._h11.trailing_data[0] or self.sock.is_readable())
 
     def close(self) -> None:
         """Close at once, and drop what has not left yet: it must not reach whoever comes back there."""
@@ -110,11 +125,12 @@
 class Pool:
     """Connections to engines, all together at most ``size``."""
 
-    def __init__(self, deadlines: Deadlines, counters: Counters, *, size: int, connect_ms: float,
-                 idle_ms: float, tls: Callable[[str], ssl.SSLContext | None] = lambda _: None,
+    size, connect_ms, idle_ms = 64, 250.0, 30_000.0  # until the configuration has been applied
+
+    def __init__(self, deadlines: Deadlines, counters: Counters, *,
+                 tls: Callable[[str], ssl.SSLContext | None] = lambda _: None,
                  accept: Callable[[str, trio.SSLStream[trio.SocketStream]], None] = lambda *_: None) -> None:
         self.deadlines, self.counters = deadlines, counters
-        self.connect_ms, self.idle_ms, self.size = connect_ms, idle_ms, size
         self._tls, self._accept = tls, accept
         self._idle: dict[str, list[Connection]] = {}
         self._waiting: deque[trio.Event] = deque()
@@ -125,6 +141,12 @@
         """Connections that are open now."""
         return self._open
 
+    def resize(self, size: int) -> None:
+        """Allow that many connections from now on; those over it end with their calls."""
+        self.size = size
+        for turn in self._waiting:
+            turn.set()
+
     async def acquire(self, address: str, *, fresh: bool = False) -> Connection:
         """Return a connection for one call; raise ConnectFailed where none comes up."""
         if not fresh and (connection := self._reuse(address)) is not None:
@@ -138,7 +160,7 @@
 
     def release(self, connection: Connection, address: str) -> None:
         """Take a connection back after its call, whatever became of the call."""
-        if connection.reusable:
+        if connection.reusable and self._open <= self.size:
             connection.idle_since = self.deadlines.clock()
             self._idle.setdefault(address, []).append(connection)
             if self._waiting:  # somebody waits for room: an idle connection is the first to go
--- a/fordstair/net/membership.py
+++ b/fordstair/net/membership.py
@@ -60,7 +60,7 @@
 
 
 def read_command(command: Mapping[str, Any], zones: list[str],
-                 kinds: list[str]) -> tuple[ListKind, list[Engine]]:
+                 kinds: list[str]) -> tuple[int, ListKind, list[Engine]]:
     """Read one event of the configuration's ``known``; raise ValueError or KeyError where it cannot be."""
     nodes, engines = command["nodes"], []
     for line in nodes["servers"]:
@@ -69,7 +69,8 @@
             int(line.get("cell", 0)), _position(kinds, line.get("kind")),
             float(line.get("started_ms", 0)), float(line.get("weight", 1)))
         engines.append(Engine(entry, str(line["addr"]), str(line.get("protocol", "rest"))))
-    return (ListKind.FULL if nodes.get("full") else ListKind.DELTA), engines
+    kind = ListKind.FULL if nodes.get("full") else ListKind.DELTA
+    return int(command.get("cursor", 0)), kind, engines
 
 
 def _position(names: list[str], name: object) -> int:
@@ -83,18 +84,31 @@
                  counters: Counters) -> None:
         self.channel, self.cursor, self.deliver = channel, cursor, deliver
         self.deadlines, self.counters = deadlines, counters
+        self._scope = trio.CancelScope()
+
+    def move(self, channel: str) -> None:
+        """Follow another address from the same number; what the old one has told stays in force.
+
+        The connection is made anew also where the address is the same: asking again brings what an
+        address that has stopped without a sign holds back.
+        """
+        self.channel = channel
+        self._scope.cancel()
 
     async def run(self) -> None:
         """Connect, read until the connection ends or falls silent, and connect again from the last number."""
         while True:
-            try:
-                await self._follow()
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, FrameError) as error:
-                log.info("command channel: %s", error)
-            except Exception:  # news that breaks something here must not end the program with it
-                log.exception("command channel")
-            self.counters.add("channel.breaks")
-            await self.deadlines.sleep(AGAIN_MS)
+            with trio.CancelScope() as self._scope:
+                if not self.channel:
+                    await trio.sleep_forever()
+                try:
+                    await self._follow()
+                except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, FrameError) as error:
+                    log.info("command channel: %s", error)
+                except Exception:  # news that breaks something here must not end the program with it
+                    log.exception("command channel")
+                self.counters.add("channel.breaks")
+                await self.deadlines.sleep(AGAIN_MS)
 
     async def _follow(self) -> None:
         host, _, port = self.channel.rpartition(":")
@@ -122,7 +136,15 @@
                 buffer = buffer[at:]
 
     def _take(self, number: int, kind: int, payload: memoryview) -> None:
-        if kind not in (1, 2) or number <= self.cursor:  # nothing new, or told before the reconnection
-            return
-        self.deliver(ListKind.FULL if kind == 1 else ListKind.DELTA, read_records(payload))
-        self.cursor = number
+        if kind in (1, 2) and number >= self.cursor:
+            self.take(number, ListKind.FULL if kind == 1 else ListKind.DELTA, read_records(payload))
+
+    def take(self, number: int, kind: ListKind, engines: list[Engine]) -> None:
+        """Pass an event on, unless it was told before: written twice, or known from another source.
+
+        A whole list under the number at hand says how things stand there, and does no harm if it says nothing
+        new; a change under that number is a second copy.
+        """
+        if number > self.cursor or (number == self.cursor and kind is ListKind.FULL):
+            self.deliver(kind, engines)
+            self.cursor = number
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/msgpack_rpc.py
@@ -220,8 +220,10 @@
 class RpcFront:
     """Accepts clients, at most as many as the limit on sockets leaves them."""
 
-    def __init__(self, coordinator: Coordinator, clients_most: int) -> None:
-        self.coordinator, self.clients_most = coordinator, clients_most
+    clients_most = 64  # until the configuration has been applied
+
+    def __init__(self, coordinator: Coordinator) -> None:
+        self.coordinator = coordinator
         self.clients: set[RpcClient] = set()
 
     async def serve(self, stream: trio.SocketStream) -> None:
--- a/fordstair/net/odata_engine.py
+++ b/fordstair/net/odata_engine.py
@@ -10,12 +10,12 @@
 from cairnhoist.interface import Status
 from fordstair.core.ports import Call, Errand, News
 from fordstair.net.engine_call import HttpCall, HttpTransport
-from fordstair.net.http_client import Answer
+from fordstair.net.http_client import Answer, Broken
 from fordstair.net.rest_engine import parse_report
 
 ROOT = "/odata/"
 ACTION = ROOT + "RunStatement"
-_VERSION = ("OData-Version", "4.01"), ("OData-MaxVersion", "4.01"), ("Accept", "application/json")
+_VERSION = [("OData-Version", "4.01"), ("OData-MaxVersion", "4.01"), ("Accept", "application/json")]
 PAUSE_MS = 100.0  # between two looks at a status monitor that answers at once
 PAUSE_MOST_MS = 1_000.0
 
@@ -34,6 +34,7 @@
     monitor = ""
     next_link = ""
     pause_ms = PAUSE_MS
+    headers = _VERSION
 
     @property
     def path(self) -> str:
@@ -52,13 +53,15 @@
     async def news(self) -> News:
         """Look at the monitor, no more often than the engine wants."""
         await self.deadlines.sleep(self.pause_ms)
-        return self.read(await self.ask(self.monitor, _VERSION))
+        return await super().news()
 
     async def further(self) -> bytes | None:
         """Follow the next link; a lost page is an error of a query that has run."""
         if not self.next_link:
             return None
-        answer = await self.ask(self.next_link, _VERSION)
+        return await self.ask(self.next_link, self._page)
+
+    def _page(self, answer: Answer) -> bytes:
         if answer.status != 200:
             raise self.end(Status.ERROR, f"a page: status {answer.status}")
         return self._rows(answer)
@@ -86,14 +89,14 @@
         return News(False, rows, report=report)
 
     def _rows(self, answer: Answer) -> bytes:
-        """Return a page as text; what is no page, or cannot stand in rows of text, is an error."""
+        """Return a page as text; what is no page, or cannot stand in rows of text, raises Broken."""
         try:
             page = ujson.loads(answer.body)
             rows = [[_cell(value) for name, value in row.items() if "@" not in name] for row in page["value"]]
             link = page.get("@odata.nextLink", page.get("@nextLink", ""))
             self.next_link = self._own_path(link) if link else ""
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            raise self.end(Status.ERROR, f"no page of OData: {type(error).__name__}: {error}") from None
+            raise Broken(f"no page of OData: {type(error).__name__}: {error}") from None
         return "".join("\t".join(row) + "\n" for row in rows).encode()
 
     def _own_path(self, link: str) -> str:
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/odata_front.py
@@ -160,9 +160,11 @@
 class ODataFront:
     """Serves HTTP connections."""
 
-    def __init__(self, coordinator: Coordinator, operator: Operator, clients_most: int,
+    clients_most = 64  # until the configuration has been applied
+
+    def __init__(self, coordinator: Coordinator, operator: Operator,
                  team_of: Callable[[trio.abc.Stream], str | None] = lambda _: None) -> None:
-        self.coordinator, self.operator, self.clients_most = coordinator, operator, clients_most
+        self.coordinator, self.operator = coordinator, operator
         self.results = Results(operator.results_most, operator.result_ms, coordinator)
         self.repeats = Repeats(coordinator)
         self.team_of = team_of
--- a/fordstair/net/rest_engine.py
+++ b/fordstair/net/rest_engine.py
@@ -7,7 +7,7 @@
 from cairnhoist.interface import NoteKind, Status
 from fordstair.core.ports import Call, Errand, News
 from fordstair.net.engine_call import DROP_MS, HttpCall, HttpTransport
-from fordstair.net.http_client import Answer
+from fordstair.net.http_client import Answer, Broken
 
 PAGES_MOST = 1_000
 _NOTES = {"p": NoteKind.PROGRESS, "s": NoteKind.SPILL, "w": NoteKind.WAIT}
@@ -32,6 +32,13 @@
     return (_NOTES[how], number) if how in _NOTES and math.isfinite(number) else None
 
 
+def whole_rows(body: bytes) -> bytes:
+    """Return a page that holds whole rows of three columns; what a wrong length has cut raises Broken."""
+    if body and any(row.count(b"\t") != 2 for row in body[:-1].split(b"\n")) or body[-1:] not in (b"", b"\n"):
+        raise Broken("not whole rows")
+    return body
+
+
 class RestTransport(HttpTransport):
     """Carries attempts to the platform's engines."""
 
@@ -50,25 +57,30 @@
         """The query's own resource; page 0 of it is its news."""
         return f"/o/{self.errand.query.txn}"
 
+    @property
+    def news_path(self) -> str:
+        """Page 0: the end, a note, or 250 ms of nothing."""
+        return f"{self.path}/0"
+
     def post(self, limit_ms: int) -> tuple[str, list[tuple[str, str]], bytes]:
         """Id, class and statement go out as they came."""
         query = self.errand.query
         return "/o", [("X-Txn", query.txn), ("X-Lane", query.lane), ("X-Limit-Ms", str(limit_ms)),
                       ("X-Urgency", str(self.errand.urgency))], query.statement
 
-    async def news(self) -> News:
-        """Ask for the end, a note, or 250 ms of nothing."""
-        return self.read(await self.ask(f"{self.path}/0"))
-
     async def further(self) -> bytes | None:
         """Fetch the next page; what is not that page is an error of a query that has run."""
         self.fetched += 1
         if self.fetched >= self.pages:
             return None
-        answer = await self.ask(f"{self.path}/{self.fetched}")
-        if answer.status != 200 or answer.text(b"x-sheet") != str(self.fetched):
+        return await self.ask(f"{self.path}/{self.fetched}", self._page)
+
+    def _page(self, answer: Answer) -> bytes:
+        if answer.status != 200:
             raise self.end(Status.ERROR, f"page {self.fetched}: status {answer.status}")
-        return answer.body
+        if answer.text(b"x-sheet") != str(self.fetched):  # a copy of another call's answer, perhaps
+            raise Broken(f"not page {self.fetched}")
+        return whole_rows(answer.body)
 
     async def hurry(self, urgency: int) -> None:
         """PUT a new priority; one that does not arrive is no harm."""
@@ -81,8 +93,10 @@
         report = parse_report(answer.text(b"x-gauges"), self.fields)
         if answer.status == 202:
             return News(True, note=parse_note(answer.text(b"x-how"), answer.text(b"x-val")), report=report)
-        pages = answer.text(b"x-sheets")
-        if answer.status == 200 and pages.isdecimal() and 1 <= int(pages) <= PAGES_MOST:
-            self.ended, self.pages = True, int(pages)
-            return News(False, answer.body, report=report)
-        raise self.end_unserved(answer, report)
+        if answer.status != 200:
+            raise self.end_unserved(answer, report)
+        pages, rows = answer.text(b"x-sheets"), whole_rows(answer.body)
+        if not pages.isdecimal() or not 1 <= int(pages) <= PAGES_MOST:
+            raise Broken(f"{pages[:20]!r} pages")
+        self.ended, self.pages = True, int(pages)
+        return News(False, rows, report=report)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -38,11 +38,14 @@
     "report": {"fields": ["util", "inflight"], "source": "piggyback"}, "discovery": "push"}
 
 Answered = tuple[int, dict[str, str], bytes]
-Script = Callable[["RestEngine", str, str, dict[str, str], bytes], Awaitable[Answered | None]]
+Script = Callable[["RestEngine", str, str, dict[str, str], bytes], Awaitable[Answered | bytes | None]]
 
 
 class RestEngine:
-    """Answers as its script says; None breaks the connection. Counts calls, and keeps the POSTs."""
+    """Answers as its script says; None breaks the connection, bytes go out as they are and are its last.
+
+    Counts calls, and keeps the POSTs.
+    """
 
     def __init__(self, script: Script) -> None:
         self.script, self.address = script, ""
@@ -68,6 +71,11 @@
                     answered = await self._answer(request, body)
                     if answered is None:
                         return
+                    if isinstance(answered, bytes):
+                        await stream.send_all(answered)
+                        while await stream.receive_some(65536):
+                            self.calls["after raw bytes"] += 1
+                        return
                     status, headers, text = answered
                     fields = [*headers.items(), ("Content-Length", str(len(text)))]
                     response = h11.Response(status_code=status, headers=fields)
@@ -81,7 +89,7 @@
         finally:
             await trio.aclose_forcefully(stream)
 
-    async def _answer(self, request: h11.Request, body: bytes) -> Answered | None:
+    async def _answer(self, request: h11.Request, body: bytes) -> Answered | bytes | None:
         method, path = request.method.decode(), request.target.decode()
         headers = {name.decode(): value.decode() for name, value in request.headers}
         self.calls[method] += 1
@@ -177,6 +185,7 @@
 
     def __init__(self, process: trio.Process, log: list[str]) -> None:
         self.process, self.log = process, log
+        self.path = Path()  # its configuration
         self.ports: dict[str, int] = {}
 
     async def client(self) -> Client:
@@ -202,6 +211,7 @@
                 [sys.executable, "-m", "fordstair", *arguments], env=environ, cwd=ROOT, check=False,
                 stderr=subprocess.PIPE, capture_stderr=False, task_status=task_status))
             one, ready = Program(process, []), trio.Event()
+            one.path = path
             nursery.start_soon(_follow, one, ready, 1 + len(arguments) // 2)
             with trio.fail_after(20.0):
                 await ready.wait()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -120,7 +120,7 @@
         "a.b": "1,2", "a.c.count": "1", "a.c.0.d": "true", "e": "x__y"}
     told = parse(config("127.0.0.1:1"))
     assert [spec.threads for spec in told.settings.classes] == [1, 4, 2] and told.connect_timeout_ms == 250.0
-    assert told.known[0][1][0].entry.engine == "s-00000000"
+    assert told.known[0][2][0].entry.engine == "s-00000000"
 
 
 @pytest.mark.parametrize(("change", "named"), [
