Bound clients by time, size and room, and forget engines and requests that are gone

Found while reading, each with a test: a request withdrawn before its task ran was still told to the module, whose counter held its threads for good; Coordinator.engines never lost engines that had gone; the drain's times did not follow the longest deadline.

--- a/fordstair/__main__.py
+++ b/fordstair/__main__.py
@@ -22,7 +22,7 @@
 from fordstair.net.http_client import Pool
 from fordstair.net.identity import Identity, read_files
 from fordstair.net.membership import Membership
-from fordstair.net.msgpack_rpc import RpcFront
+from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
 from fordstair.net.odata_engine import ODataTransport
 from fordstair.net.odata_front import ODataFront
 from fordstair.net.odata_model import Operator, load_operator
@@ -30,9 +30,13 @@
 
 log = logging.getLogger("fordstair")
 
-# After SIGTERM new connections and requests still come for a while; all must be answered in the end.
-ACCEPT_MS, ANSWER_MS, FLUSH_MS = 700.0, 2_700.0, 250.0
+# After SIGTERM new connections and requests still come for a while; SIGKILL comes after the longest deadline
+# and KILL_MS. By then all must be answered: the module gives its word on what is open a moment before.
+ACCEPT_MS, KILL_MS, LONGEST_MS, ANSWER_MS, FLUSH_MS = 700.0, 700.0, 3_000.0, 550.0, 300.0
 SPARE_SOCKETS = 40  # the listeners, the channel, the console, standard streams and some room
+# Usual clients hold at most a third of the sockets; the rest is for those that must be told so first.
+CLIENTS_PART = 0.4
+STATEMENTS_PART, SMALLEST_BOUND = 0.125, 16 * 1024
 
 
 class Program:
@@ -141,13 +145,16 @@
         log.info("the configuration was read anew; command channel %s", config.channel or "none")
 
     def bound(self) -> None:
-        """Share the limit on sockets out among clients and engines, and set the times for connections."""
-        clients_most = self.config.sockets // 3
+        """Share the limits on sockets and memory out, and set the times for connections."""
+        clients_most = int(CLIENTS_PART * self.config.sockets)
         self.pool.resize(self.config.sockets - clients_most - SPARE_SOCKETS)
         self.pool.connect_ms, self.pool.idle_ms = self.config.connect_timeout_ms, self.config.idle_ms
         self.rpc.clients_most = clients_most if self.odata is None else clients_most // 2
         if self.odata is not None:
             self.odata.clients_most = clients_most - self.rpc.clients_most
+        # all clients' half-sent statements together must not fill the memory
+        held = STATEMENTS_PART * self.config.memory_mb * 2**20 / self.rpc.clients_most
+        self.rpc.largest_statement = max(SMALLEST_BOUND, min(LARGEST_STATEMENT, int(held)))
 
     async def accept(self, name: str, listen: tuple[str, int],
                      serve: Callable[[trio.SocketStream], Awaitable[None]], scope: trio.CancelScope) -> None:
@@ -162,15 +169,17 @@
         """Go on for a while, then close what is idle, and answer all by the end."""
         deadlines, coordinator = self.deadlines, self.coordinator
         start, coordinator.draining = deadlines.clock(), True
+        longest_ms = max(spec.give_up_ms for spec in self.config.settings.classes)
+        kill_ms = start + min(LONGEST_MS, longest_ms) + KILL_MS
         await deadlines.sleep(ACCEPT_MS)
         for scope in accepting:
             scope.cancel()
-        while deadlines.clock() < start + ANSWER_MS and coordinator.open:
+        while deadlines.clock() < kill_ms - ANSWER_MS and coordinator.open:
             await deadlines.sleep(20.0)
         coordinator.close()
         for client in self.rpc.clients:
             client.close()
-        while deadlines.clock() < start + ANSWER_MS + FLUSH_MS and (
+        while deadlines.clock() < kill_ms - ANSWER_MS + FLUSH_MS and (
                 self.rpc.clients or coordinator.live or (self.odata is not None and not self.odata.idle)):
             await deadlines.sleep(10.0)
 
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -68,7 +68,7 @@
             self.ordered = trio.Event()
             await self.ordered.wait()
         order, self.order = self.order, None
-        return None if self.over else order
+        return order
 
     def end(self) -> None:
         """Nothing more is owed to the client; what is out is given up."""
@@ -88,6 +88,7 @@
         self.gateway = Gateway(settings, seed)
         self.engines: dict[str, Engine] = {}
         self.live: dict[int, Live] = {}
+        self._txns: set[str] = set()
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
         self.draining = False
@@ -107,10 +108,15 @@
         now = self.deadlines.clock()
         live = Live(self._last_id, query, reply, now, now + max(0.0, query.limit_ms - TRANSIT_MS))
         self.live[live.id] = live
+        self._txns.add(query.txn.lower())
         self.counters.add(f"taken.{query.lane}")
         self._nursery.start_soon(self._guarded, live)
         return live
 
+    def knows(self, txn: str) -> bool:
+        """Whether a request under this id is being worked on."""
+        return txn.lower() in self._txns
+
     def leave(self, live: Live) -> None:
         """The client has stopped waiting: no answer is owed."""
         if not live.over:
@@ -135,18 +141,35 @@
         except Exception:
             log.exception("request %s broke", live.query.txn)
             self._answer(live, "failed", partial(live.reply.failed, "internal error"))
+            self._write_off(live)
         finally:
             self.live.pop(live.id, None)
+            self._txns.discard(live.query.txn.lower())
+
+    def _write_off(self, live: Live) -> None:
+        """Tell the module that nothing is out; else it would count the attempt's threads for good."""
+        try:
+            self.tell(ClientGone(live.id))
+            self.tell(AttemptEnded(live.id, live.attempts - 1, live.engine, Status.ERROR, 0.0, complete=True))
+        except Exception:
+            log.exception("the module broke")
 
     async def serve(self, live: Live) -> None:
         """One request from its arrival to its single final answer."""
         query = live.query
+        if live.over:  # withdrawn before its turn came: the module must not plan for it
+            return
         self.tell(RequestArrived(
             live.id, query.klass, live.deadline_ms - self.deadlines.clock(), query.tenant, query.cost_ms,
             query.memory_mb, query.group))
         while (order := await live.next_order()) is not None:
-            engine, number, sent_ms = self.engines[order.engine], live.attempts, self.deadlines.clock()
+            engine, number, sent_ms = self.engines.get(order.engine), live.attempts, self.deadlines.clock()
             live.attempts, live.engine = number + 1, order.engine
+            if live.over or engine is None:
+                # Its client left, or the engine went, before the order's turn came: nothing is sent, but the
+                # module counts it as out until it is told of an end.
+                self.tell(AttemptEnded(live.id, number, order.engine, Status.MOOT, 0.0, complete=live.over))
+                continue
             self.counters.add(f"sent.{query.lane}")
             until = sent_ms + order.limit_ms if order.limit_ms > 0.0 else live.deadline_ms
             limit_ms = min(until, live.deadline_ms) - sent_ms
@@ -217,7 +240,7 @@
         listed = list(engines)
         if kind is not ListKind.DELTA:
             for gone in self.engines.keys() - {engine.entry.engine for engine in listed}:
-                self._retire(self.engines[gone])
+                self._retire(self.engines.pop(gone))
         for engine in listed:
             old = self.engines.get(engine.entry.engine)
             if old is not None and (old.address, old.entry.started_ms) != (
@@ -229,7 +252,7 @@
             else:
                 self.engines[engine.entry.engine] = engine
             if engine.entry.state is EngineState.GONE:
-                self._retire(self.engines[engine.entry.engine])
+                self._retire(self.engines.pop(engine.entry.engine))
         self.counters.add("members.events")
         self.tell(MembersChanged(kind, tuple(engine.entry for engine in listed)))
 
--- a/fordstair/net/messagepack.py
+++ b/fordstair/net/messagepack.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 DEPTH_MOST = 8
-ITEMS_MOST = 1_024
+ITEMS_MOST = 64
 
 _FLOATS = {0xCA: struct.Struct(">f"), 0xCB: struct.Struct(">d")}
 _INTS = {0xCC: (1, False), 0xCD: (2, False), 0xCE: (4, False), 0xCF: (8, False),
