Fix a crash in making room, and give new connections time to ask before they are shed

Cause: RpcFront._make_room ran outside the handler's guard; it preferred any connection that had not asked, the newest one included, whose first request was still on its way; one time ran over many half-sent messages of a busy connection; a shed connection was closed some turns after it had been looked at. Ruled out: time-outs of writes and refusals of ids (both counted, both 0).

--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -98,6 +98,8 @@
         # The query may run. Another attempt now would be a second one beside it, and its end, which the
         # engine tells again under its id, would be lost.
         self.pool.counters.add("engine.asked_anew")
+        # What was read before a reset may not have been started yet: asking must not overtake it either.
+        await self.deadlines.sleep(OVERTAKE_MS)
         return await self.ask(self.news_path, self.read)
 
     async def news(self) -> News:
@@ -108,24 +110,33 @@
         """DELETE the query once its POST went whole; bounded, since the machine may be silent."""
         if self.ended or not self.posted_ms or not self.path:
             return
-        with trio.CancelScope(shield=True), self.deadlines.limit(self.deadlines.clock() + DROP_MS):
+        with trio.CancelScope(shield=True), self.deadlines.limit(self.deadlines.clock() + DROP_MS) as limit:
             await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
             await self.side_call("DELETE", self.path)
+        if limit.cancelled_caught:
+            self.pool.counters.add("engine.drops_in_vain")
 
     async def side_call(self, method: str, path: str, body: bytes = b"") -> None:
-        """Make a call whose answer tells nothing, on another connection than the one that asks."""
-        for _ in range(BREAKS_MOST):
+        """Make a call whose answer tells nothing, on another connection than the one that asks.
+
+        A connection that breaks, or does not come up, says nothing of the call's having arrived: it is made
+        again until it is answered or its process has gone. The caller bounds its time.
+        """
+        while True:
+            connection = None
             try:
                 connection = await self.pool.acquire(self.address)
-            except ConnectFailed:
-                return
-            try:
                 await connection.exchange(method, path, [], body)
                 return
+            except ConnectFailed as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    return
+                await self.deadlines.sleep(AGAIN_MS)
             except Broken:
-                continue
+                await self.deadlines.sleep(OVERTAKE_MS)
             finally:
-                self.pool.release(connection, self.address)
+                if connection is not None:
+                    self.pool.release(connection, self.address)
 
     async def ask(self, path: str, read: Callable[[Answer], T]) -> T:
         """GET until there is an answer that can be read.
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/msgpack_rpc.py
@@ -29,6 +29,7 @@
 # A first message, or the rest of a begun one, must come within that time: silent connections and endless
 # messages would fill the room for clients. One that has asked may stay silent for good.
 WHOLE_MS, UNREAD_MS = 2_000.0, 250.0
+GREET_MS = 300.0  # for a new connection, while there are others to shed
 WRITE_MS = 5_000.0  # for an answer to leave: a client that reads nothing is not kept for ever
 LINGER_MS = 1_000.0  # for what still comes after the last answer
 # Who asks for what cannot be used, again and again, is read from more slowly; its answers are not delayed.
@@ -122,13 +123,15 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is open and every answer has left."""
-        return not self.open and not self._unsent and not self._sending
+        """Whether no request is open or half-sent, and every answer has left."""
+        half_sent = self.asked and self._due is not None
+        return not (self.open or half_sent or self._unsent or self._sending)
 
     @property
     def unread(self) -> bool:
         """Whether something has come that this program was too busy to read."""
-        return self.stream.socket.is_readable()
+        sock = self.stream.socket
+        return sock.fileno() >= 0 and sock.is_readable()  # one that has just been closed is still listed
 
     async def run(self) -> None:
         """Serve the connection to its end; requests still open then have lost their client."""
@@ -155,7 +158,8 @@
         self._stir.set()
 
     def shed(self) -> None:
-        """End the connection at once."""
+        """End the connection at once: what comes from now on must not be read and dropped."""
+        self.stream.socket.close()
         self._scope.cancel()
 
     def answer(self, number: int, error: object, result: object) -> None:
@@ -218,9 +222,9 @@
                     return self._refuse_rest(view[at:], "the message is too large")
             except Malformed as error:
                 return self._refuse_rest(view[at:], str(error))
-            if at == len(view) and self.asked:
+            if turn and self.asked:  # the time runs for each message anew
                 self._whole()
-            elif self._due is None:
+            if at < len(view) and self._due is None:
                 self._expect(WHOLE_MS)
             chunks, size = ([buffer[at:]], len(buffer) - at) if at < len(buffer) else ([], 0)
             if self._faults:
@@ -325,29 +329,33 @@
         self.clients: set[RpcClient] = set()
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one connection; a fault in it ends no other."""
-        if len(self.clients) >= self.clients_most and not self._make_room():
-            self.coordinator.counters.add("client.turned_away")
-            await stream.aclose()
-            return
-        client = RpcClient(stream, self.coordinator, self.largest_statement)
+        """Serve one connection; a fault in it, or in making room for it, ends no other."""
+        try:
+            if len(self.clients) >= self.clients_most and not self._make_room():
+                self.coordinator.counters.add("client.turned_away")
+                return await trio.aclose_forcefully(stream)
+            await self._serve(RpcClient(stream, self.coordinator, self.largest_statement))
+        except Exception:
+            log.exception("a client's connection broke")
+
+    async def _serve(self, client: RpcClient) -> None:
         self.clients.add(client)
         self.coordinator.counters.add("client.connections")
         try:
             await client.run()
-        except Exception:
-            log.exception("a client's connection broke")
         finally:
             self.clients.discard(client)
 
     def _make_room(self) -> bool:
-        """Shed one connection with nothing open on it: one that never asked, else the longest silent one.
+        """Shed one connection with nothing open on it.
 
-        Who asks and then holds the connection for good must not keep others out, and may well ask again; who
-        connects and says nothing least of all.
+        Who connects and says nothing goes first, then who has been silent longest since asking: clients that
+        ask once and hold their connection must not keep others out. A new connection has some time to ask.
         """
-        idle = [client for client in self.clients if client.idle]
-        for client in sorted(idle, key=lambda each: (each.asked, each.since_ms)):
+        young_ms = self.coordinator.deadlines.clock() - GREET_MS
+        idle = [(1 if client.asked else 2 if client.since_ms > young_ms else 0, client.since_ms, client)
+                for client in self.clients if client.idle]
+        for _, _, client in sorted(idle, key=lambda each: each[:2]):
             if client.closing or not client.unread:
                 self.coordinator.counters.add("client.shed")
                 self.clients.discard(client)
