Give late work up at its aim while something presses, and blame no engine for bad statements

A trace of each attempt showed progress going on, slowly: a jam that what is late keeps going. Errors of bad clients' statements (46 in 5 s) also drew down the marks of all engines, and were sent to up to four of them.

Lines at fault: on_request (useful_until was the deadline wherever late work earned anything) and on_outcome (errors counted against engines at once).

--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -30,10 +30,12 @@
 PROBES_PER_REQUEST, PROBES_SAVED = 0.4, 8.0  # probes that a request earns, and saved at most
 LOOK_AT, STALE_MS, FRESH_MS, HOLD_MS = 4, 500.0, 700.0, 25.0  # engines looked at; ages; wait for answers
 BUSY_AT_CAPACITY, COLD_SAFETY, COLD_SIGMAS = 0.85, 1.0, 2.0  # busy cores; cold budget's part used; scatter
-FAULTS = (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.FULL)  # full, since what hangs fills up
+FAULTS = (Status.RESET, Status.CONNECT_FAILED, Status.FULL)  # full, since what hangs fills up
+ERRORS_MOST = 2  # engines that may answer with an error before the request counts as at fault
 OWN_RATION, SPAN_PART = AttemptBudget(1.0, 0.5, 5000.0), 0.9  # where none is stated; duplicates' span used
 IDLE_PART, IDLE_THREADS, TOO_IDLE, SILENT = 0.1, 2.0, 2.0, 0.5  # part of due threads, least due; strikes
 PATIENCE, PATIENCE_MIN_MS = 3.0, 300.0  # times the expected latency before an attempt is looked into
+LATE_LOOK_MS = 250.0  # between looks at late work
 AIM_SLACK, DEADLINE_MARGIN_MS = 1.5, 10.0  # work over its prediction, at most; last answer before the client
 
 
@@ -299,7 +301,7 @@
         self.requests[r.id] = r
         if not self.admit(r):
             return self.give_up(r)
-        self.set_timer(max(0.0, r.useful_until - self.now), r)
+        self.set_timer(max(0.0, min(r.useful_until, aim) - self.now), r)
         if not r.key_line:
             return self.dispatch(r)
         line = self.lines.setdefault(r.key, Line(r.key))
@@ -313,6 +315,8 @@
         budget, effect = self.ration, r.spec.effect
         if r.sent >= self.settings.max_attempts or self.now + 0.5 * r.cost / r.spec.threads > r.useful_until:
             return False
+        if len(r.erred_on) >= ERRORS_MOST:
+            return False
         since = r.maybe_since if r.maybe_since is not None or r.out is None else r.out.sent
         span = {Effect.SAFE: math.inf, Effect.KEYED: SPAN_PART * r.spec.memory_span_ms, Effect.UNSAFE: -1.0}
         if since is not None and self.now > since + span[effect]:
@@ -373,12 +377,18 @@
             self.pump(target)
         elif isinstance(target, Request) and target.looking:
             self.dispatch(target)
+        elif isinstance(target, Request) and not target.finished and self.may_be_late(target):
+            self.set_timer(min(LATE_LOOK_MS, target.useful_until - self.now), target)
         elif isinstance(target, Request) and not target.finished:
             self.take_in(self.late, LATE_FULL, target.spec.worth)  # a jam shows here first
             self.give_up(target)
         elif isinstance(target, Attempt) and target.request.out is target and not target.request.finished:
             self.look_into(target)
 
+    def may_be_late(self, r: Request) -> bool:
+        """Late work still earns something, but what it holds keeps a jam going: then its aim is its end."""
+        return self.now < r.useful_until and self.pressure(r.klass) <= BINDS_AT
+
     def strike(self, e: Engine, strikes: float) -> None:
         """Mark an engine as silent; once it is, what else it holds need not wait so long."""
         crossed, e.strikes = e.strikes < 1.0 <= e.strikes + strikes, min(4.0, e.strikes + strikes)
@@ -410,6 +420,12 @@
             e.heard_at, e.strikes = self.now, max(0.0, e.strikes - 1.0)
             aim = r.spec.promise_ms + r.spec.aim_stretch * (event.work_ms or r.cost) / r.spec.threads
             self.take_in(self.late, min(LATE_MOST, event.latency_ms / max(1.0, aim)), r.spec.worth)
+        # An error may be the statement's own: what no engine can use must not make all of them look sick, so
+        # it marks its engine only once another one has served the same request.
+        if event.status is Status.ERROR:
+            r.erred_on.append(e)
+        for sick in r.erred_on if served else ():
+            sick.errors.add(1.0)
         if served or event.status in FAULTS:
             e.errors.add(0.0 if served else 1.0)
             e.down_at = self.now if event.status is Status.CONNECT_FAILED else e.down_at
--- a/cairnhoist/state.py
+++ b/cairnhoist/state.py
@@ -204,6 +204,7 @@
     maybe_since: float | None = None  # send of the first attempt that may have run
     maybe_on: EngineEntry | None = None
     last_engine: EngineId | None = None
+    erred_on: list[Engine] = field(default_factory=list)  # engines that answered it with an error
     looked: bool = False  # fresh reports were asked for before the next attempt
     looking: bool = False  # it waits for them
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cairnhoist.interface import (
+    AttemptBudget,
     AttemptNote,
     Effect,
     EngineState,
@@ -283,3 +284,33 @@
     assert all(rig.of(Refuse, r) for r in asked if r not in out)
     rig.end(out[0], Status.OK, 10.0)
     assert rig.sends(rig.ask(0, 10.0, budget_ms=20000.0))
+
+
+def test_errors_of_one_bad_statement_mark_no_engine() -> None:
+    """Bad clients' statements reach engines, which answer an error each: none of them is sick for that."""
+    ample = AttemptBudget(100.0, 1.0, 5000.0)
+    rig = Rig(settings(attempt_budget=ample), engines=4)
+    for _ in range(10):
+        bad = rig.ask(SAFE)
+        while not rig.answers(bad):
+            rig.end(bad, Status.ERROR, 1.0)
+        assert len(rig.sends(bad)) == 2  # a third engine would find no more use for it
+    assert all(one.errors.value == 0.0 for one in rig.gateway.engines.values())
+    good = rig.ask(SAFE)
+    rig.end(good, Status.ERROR, 1.0)
+    rig.end(good)
+    sick = rig.gateway.engines[rig.sends(good)[0].engine]
+    assert sick.errors.value == 1.0  # another engine could serve it
+
+
+@pytest.mark.parametrize("jam", [False, True])
+def test_late_work_goes_on_while_calm_and_ends_at_its_aim_in_a_jam(jam: bool) -> None:
+    """What is late earns little, and what it holds keeps a jam going."""
+    rig = Rig(settings(classes=(HEAVY,), notes_every_ms=500.0))
+    r = rig.ask(0, 100.0, budget_ms=20000.0)
+    for step in range(30):
+        rig.pass_time(100.0)
+        rig.feed(AttemptNote(r, 0, rig.sends(r)[0].engine, NoteKind.PROGRESS, 0.5 + step / 100.0))
+        if jam:
+            rig.gateway.take_in(rig.gateway.late, 2.0)
+    assert bool(rig.answers(r)) == jam
