Bound OData clients by time as well, and let both fronts close without a reset

The OData front closed silent and half-sent connections after 30 s, kept a client that reads nothing for ever, and reset the connection under a 413 with the rest of the body unread. It now has the guards of the platform's front; half-closing and reading on for a moment is shared in net/closing.py. Tests: a silent and a half-sent connection are closed, a refusal of 60 MB arrives; all three fail without it.

--- /dev/null
+++ b/fordstair/net/closing.py
@@ -0,0 +1,22 @@
+"""How connections of clients end, whichever front they came to."""
+
+from __future__ import annotations
+
+import trio
+
+from fordstair.core.deadlines import Deadlines
+
+READ_BYTES = 65_536
+LINGER_MS = 1_000.0  # for what still comes after the last answer
+
+
+async def linger(stream: trio.abc.Stream, deadlines: Deadlines) -> None:
+    """Half-close, and read on for a while.
+
+    Closing with input unread would send a reset, which can destroy the answer that has just left.
+    """
+    if isinstance(stream, trio.abc.HalfCloseableStream):
+        with deadlines.limit(deadlines.clock() + LINGER_MS):
+            await stream.send_eof()
+            while await stream.receive_some(READ_BYTES):
+                pass
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/msgpack_rpc.py
@@ -15,6 +15,7 @@
 from fordstair.core.deadlines import Ticket
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
+from fordstair.net.closing import linger
 from fordstair.net.messagepack import Incomplete, Malformed, read
 
 log = logging.getLogger(__name__)
@@ -31,7 +32,6 @@
 WHOLE_MS, UNREAD_MS = 2_000.0, 250.0
 GREET_MS = 300.0  # for a new connection, while there are others to shed
 WRITE_MS = 5_000.0  # for an answer to leave: a client that reads nothing is not kept for ever
-LINGER_MS = 1_000.0  # for what still comes after the last answer
 # Who asks for what cannot be used, again and again, is read from more slowly; its answers are not delayed.
 PAUSE_MS, PAUSE_MOST_MS = 5.0, 100.0
 _NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?", re.ASCII)
@@ -143,7 +143,7 @@
                     with self._reading:
                         await self._read()
                     self.close()
-                await self._linger()
+                await linger(self.stream, self.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
@@ -184,16 +184,6 @@
             self._stir = trio.Event()
             await self._stir.wait()
 
-    async def _linger(self) -> None:
-        """Half-close, and read on for a while.
-
-        Closing with input unread would send a reset, which can destroy the answer that has just left.
-        """
-        with self.deadlines.limit(self.deadlines.clock() + LINGER_MS):
-            await self.stream.send_eof()
-            while await self.stream.receive_some(READ_BYTES):
-                pass
-
     async def _read(self) -> None:
         chunks, size, needed = list[bytes](), 0, 1
         while not self.closing:
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/odata_front.py
@@ -21,6 +21,7 @@
 from fordstair.core.coordinator import Coordinator, Live
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
+from fordstair.net.closing import linger
 from fordstair.net.odata_model import (
     EntitySet,
     ODataError,
@@ -37,6 +38,10 @@
 LARGEST_BODY = 256 * 1024
 BATCH_MOST = 100
 IDLE_MS = 30_000.0
+# A first request, or the rest of a begun one, must come within that time: silent connections and endless
+# requests would fill the room for clients. One that has asked may stay silent for IDLE_MS.
+WHOLE_MS = 5_000.0
+WRITE_MS = 10_000.0  # for an answer to leave: a client that reads nothing is not kept for ever
 AT_DEADLINE_MS = 50.0  # an answer that close to the deadline came because of it
 RESULTS_BYTES = 32 * 1024 * 1024  # of all kept rows together, within the limit on memory
 ROW_BYTES = 64  # what a row takes beyond its text
@@ -184,6 +189,7 @@
         self.coordinator.counters.add("odata.connections")
         try:
             await Session(self, stream).run()
+            await linger(stream, self.coordinator.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
             pass
         except* Exception:
@@ -201,6 +207,7 @@
         self.front, self.stream = front, stream
         self.coordinator, self.operator = front.coordinator, front.operator
         self.http = h11.Connection(h11.SERVER)
+        self.asked = False  # it has sent a whole request
         self.gone = False  # the client has left: nothing more of its batch is begun
         self.live: Live | None = None
         self.reply = Reply()
@@ -230,7 +237,13 @@
     async def _next(self) -> tuple[h11.Request | None, bytes]:
         request, body = None, bytearray()
         deadlines = self.coordinator.deadlines
-        with deadlines.limit(deadlines.clock() + IDLE_MS):
+        if not self.http.trailing_data[0]:
+            with deadlines.limit(deadlines.clock() + (IDLE_MS if self.asked else WHOLE_MS)) as limit:
+                self.http.receive_data(await self.stream.receive_some(READ_BYTES))
+            if limit.cancelled_caught:
+                self.coordinator.counters.add("odata.overdue")
+                return None, b""
+        with deadlines.limit(deadlines.clock() + WHOLE_MS):
             while True:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
@@ -247,9 +260,11 @@
                         await self._send(_error(large), close=True)
                         return None, b""
                 elif isinstance(event, h11.EndOfMessage):
+                    self.asked = True
                     return request, bytes(body)
                 else:
                     return None, b""
+        self.coordinator.counters.add("odata.overdue")
         return None, b""
 
     async def _handle(self, request: h11.Request, body: bytes) -> None:
@@ -291,7 +306,12 @@
         out = self.http.send(h11.Response(status_code=response.status, headers=fields)) or b""
         if response.body:
             out += self.http.send(h11.Data(data=response.body)) or b""
-        await self.stream.send_all(out + (self.http.send(h11.EndOfMessage()) or b""))
+        deadlines = self.coordinator.deadlines
+        with deadlines.limit(deadlines.clock() + WRITE_MS) as limit:
+            await self.stream.send_all(out + (self.http.send(h11.EndOfMessage()) or b""))
+        if limit.cancelled_caught:
+            self.coordinator.counters.add("odata.stuck")
+            raise trio.BrokenResourceError("the client does not read")
 
     async def respond(self, method: str, target: str, headers: Headers, body: bytes,
                       nested: bool = False) -> Response:
--- a/tests/test_odata.py
+++ b/tests/test_odata.py
@@ -310,3 +310,32 @@
             assert len(loads) == len(set(loads)) == 8  # each once
 
     play(scene)
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /odata/Settlements HTTP/1.1\r\nHost: a\r\n"])
+def test_a_client_that_is_silent_or_stops_in_a_request_is_closed(
+        tmp_path: Path, sent: bytes) -> None:
+    async def scene() -> None:
+        async with engine() as one, appliance(tmp_path, one) as node:
+            stream = await trio.open_tcp_stream("127.0.0.1", node.ports["odata"])
+            await stream.send_all(sent)
+            with trio.fail_after(20.0):
+                assert await stream.receive_some(65536) == b""
+
+    play(scene)
+
+
+def test_a_body_that_is_too_large_is_refused_and_its_refusal_arrives(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with engine() as one, appliance(tmp_path, one) as node:
+            stream = await trio.open_tcp_stream("127.0.0.1", node.ports["odata"])
+            head = b"POST /odata/Readings HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n"
+            await stream.send_all(head)
+            await stream.send_all(b"x" * 600_000)  # more than is read: a plain close would send a reset
+            got = b""
+            with trio.fail_after(20.0):
+                while chunk := await stream.receive_some(65536):
+                    got += chunk
+            assert b" 413 " in got
+
+    play(scene)
