Believe an engine's count where it tells twice the threads its utilisation does

At fault: Gateway.on_report took the count only where no utilisation was told, and slow engines use few cores. Change: a report's count, times the fleet's threads a query, stands for the load where it is twice the other.

--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -35,6 +35,7 @@
 ERRORS_MOST = 2  # engines that may answer with an error before the request counts as at fault
 OWN_RATION, SPAN_PART = AttemptBudget(1.0, 0.5, 5000.0), 0.9  # where none is stated; duplicates' span used
 IDLE_PART, IDLE_THREADS, TOO_IDLE, SILENT = 0.1, 2.0, 2.0, 0.5  # part of due threads, least due; strikes
+SLOW_COUNT = 2.0  # times the threads by utilisation from which those by count are believed
 PATIENCE, PATIENCE_MIN_MS = 3.0, 300.0  # times the expected latency before an attempt is looked into
 LATE_LOOK_MS = 250.0  # between looks at late work
 AIM_SLACK, DEADLINE_MARGIN_MS = 1.5, 10.0  # work over its prediction, at most; last answer before the client
@@ -113,7 +114,7 @@
         self.rules += [Rule(50, k, None) for k in range(len(settings.classes))]
         self.ration = settings.attempt_budget or OWN_RATION
         self.taken, self.extras = (Window(self.ration.window_ms + 2.0) for _ in range(2))
-        self.pool, self.late, self.typical = Mean(BUSY_STEP), Mean(BUSY_STEP), Mean(BUSY_STEP)
+        self.pool, self.late, self.typical, self.busy, self.count = (Mean(BUSY_STEP) for _ in range(5))
         self.opening: list[Action] = [Watch()] if settings.discovery is Discovery.ASK else []
         self.probe_credit, self.now, self.token, self.actions = 0.0, 0.0, 0, list[Action]()
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -302,6 +303,13 @@
             due = max(before, self.pool.value * e.cores)
             if self.warmth(e) >= 1.0 and due >= IDLE_THREADS and total < IDLE_PART * due:
                 self.strike(e, max(0.0, TOO_IDLE - e.strikes))  # it should be as busy as others: it hangs
+            if usable(inflight):
+                # An engine gone slow looks idle while it fills up: what it holds, at the usual threads for
+                # each, tells of that, whoever sent it.
+                self.take_in(self.busy, total)
+                self.take_in(self.count, inflight)
+                counted = inflight * self.busy.value / max(1.0, self.count.value)
+                total = counted if counted > SLOW_COUNT * total else total
         elif usable(inflight):
             usual = sum(c.threads for c in self.settings.classes) / len(self.settings.classes)
             total = inflight * (e.threads / e.count if e.count else usual)
