Learn of slow and failing engines from few requests, and share no home engines

Slow engines' attempts end at their aim, cancelled, and of 1114 such ends none taught anything. All gateways held the same two engines to be home to a table group, drawn 15 to 1 each: in the test one engine gets 407 of 1200 requests where an even part is 40, and loads, which stand still behind others of their group, were sent to meet there. At fault: on_outcome (cancelled attempts; 0.15 for an error that another engine disproved) and Gateway.home. Change: a cut attempt tells the least pace of its engine; a proven error weighs 0.4 at once; gateways prefer eight engines each, of their own drawing.

--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -26,12 +26,13 @@
 COUNTER, COUNTER_TOP, COUNTER_CALM = 2.0, 1.3, 1.8  # threads a core of own attempts; times it by class, calm
 COUNTER_HEAVY = 0.6  # times it for what costs more than its class's mean
 STEEPNESS, LOAD_BASE = 4.0, 0.2  # exponent of the draw on load; threads a core added to each load
-HOMES, HOME_GAIN, HELD_FACTOR = 2, 0.5, 0.2  # of a group; draw factors: home, an engine; load held
+OWN, OWN_GAIN, HELD_FACTOR = 8, 6.0, 0.2  # own engines; draw factors: own, load held
 TRUST_HALF_MS, OLD_MS, FORGIVE_MS, STEP_MS = 4000.0, 2000.0, 6000.0, 250.0  # reports halve, old; marks; steps
 PROBES_PER_REQUEST, PROBES_SAVED = 0.4, 8.0  # probes that a request earns, and saved at most
 LOOK_AT, STALE_MS, FRESH_MS, HOLD_MS = 4, 500.0, 700.0, 25.0  # engines looked at; ages; wait for answers
 BUSY_AT_CAPACITY, COLD_SAFETY, COLD_SIGMAS = 0.85, 1.0, 2.0  # busy cores; cold budget's part used; scatter
 FAULTS = (Status.RESET, Status.CONNECT_FAILED, Status.FULL)  # full, since what hangs fills up
+PROVEN = 0.4  # share of errors that the first one is read as which is surely its engine's
 ERRORS_MOST = 2  # engines that may answer with an error before the request counts as at fault
 OWN_RATION, SPAN_PART = AttemptBudget(1.0, 0.5, 5000.0), 0.9  # where none is stated; duplicates' span used
 IDLE_PART, IDLE_THREADS, TOO_IDLE, SILENT = 0.1, 2.0, 2.0, 0.5  # part of due threads, least due; strikes
@@ -88,6 +89,12 @@
         self.of[k].pace.add(pace)
         self.pace.add(pace)
 
+    def cut(self, r: Request, e: Engine, ran: float) -> None:
+        """An attempt that was stopped tells how slow its engine is at least; if all are, nothing else does."""
+        pace = min(10.0, ran * r.spec.threads / r.cost / max(0.1, self.of[r.klass].pace.value))
+        if pace > e.pace.value:
+            e.pace.add(pace)
+
     def grant(self, r: Request) -> float:
         """Memory by the estimate, corrected by what was needed, with room for its usual scatter."""
         ratio = self.of[r.klass].memory_ratio
@@ -116,6 +123,7 @@
         self.taken, self.extras = (Window(self.ration.window_ms + 2.0) for _ in range(2))
         self.pool, self.late, self.typical, self.busy, self.count = (Mean(BUSY_STEP) for _ in range(5))
         self.opening: list[Action] = [Watch()] if settings.discovery is Discovery.ASK else []
+        self.salt = self.random.getrandbits(32)
         self.probe_credit, self.now, self.token, self.actions = 0.0, 0.0, 0, list[Action]()
         self.handlers: dict[type, Callable[[Any], None]] = {
             RequestArrived: self.on_request, AttemptEnded: self.on_outcome, AttemptNote: self.on_note,
@@ -227,10 +235,14 @@
         grain = COLD_SIGMAS**2 * size / max(1.0, multiple * BUSY_AT_CAPACITY * e.cores * s.fall_ms)
         return multiple * (math.sqrt(grain + 4.0) - math.sqrt(grain)) ** 2 / 4.0 * e.cores / max(1.0, cores)
 
-    def home(self, r: Request, e: Engine) -> bool:
-        """Keep a table group warm on few engines, the same at each gateway; loads start at the far end."""
-        place = crc32(f"{r.group}|{e.entry.engine}".encode()) / 2.0**32 * len(self.engines)
-        return place >= len(self.engines) - HOMES if r.spec.is_load else place < HOMES
+    def preferred(self, e: Engine) -> bool:
+        """Whether an engine is one of the few that this gateway prefers, drawn anew for each gateway.
+
+        Where there are many of both, each would meet every engine too seldom to learn of it, and at a new
+        connection each time; the choices of all together still cover the engines evenly.
+        """
+        place = crc32(f"{self.salt}|{e.entry.engine}".encode()) / 2.0**32 * len(self.engines)
+        return place < OWN
 
     def allowed(self, r: Request) -> list[Engine]:
         engines = self.open_to(r.klass)
@@ -241,13 +253,13 @@
     def draw(self, r: Request, engines: list[Engine]) -> Engine | None:
         """The report-weighted draw; None where all are cold and their budgets leave no room."""
         mean, weights = sum(self.load(e) for e in engines) / max(1, len(engines)), []
-        gain, cores = HOME_GAIN * len(self.engines), sum(e.cores for e in self.open_to(r.klass))
+        cores = sum(e.cores for e in self.open_to(r.klass))
         for e in engines:
             # What fails fast or is refused looks idle: an engine with marks counts as loaded as the mean.
             load = max(self.load(e), mean if self.marks(e) < SOUND else 0.0)
             w = e.cores * self.warmth(e) * self.health(e) / (LOAD_BASE + load) ** STEEPNESS
             blocked = r.group in e.held and (r.spec.is_load or r.spec.waits_for_loads)
-            weights.append(w * (gain if self.home(r, e) else 1.0) * (HELD_FACTOR if blocked else 1.0))
+            weights.append(w * (OWN_GAIN if self.preferred(e) else 1.0) * (HELD_FACTOR if blocked else 1.0))
         warm = sum(w for e, w in zip(engines, weights, strict=True) if self.warmth(e) >= 1.0)
         weights = [w if self.warmth(e) >= 1.0 else min(w, self.cold_part(e, cores) * (warm or 1.0))
                    for e, w in zip(engines, weights, strict=True)]
@@ -452,11 +464,14 @@
             e.heard_at, e.strikes = self.now, max(0.0, e.strikes - 1.0)
             aim = r.spec.promise_ms + r.spec.aim_stretch * (event.work_ms or r.cost) / r.spec.threads
             self.take_in(self.late, min(LATE_MOST, event.latency_ms / max(1.0, aim)), r.spec.worth)
+        elif a.cancelled or event.status in (Status.CANCELLED, Status.TIMEOUT):
+            self.cache.cut(r, e, self.now - a.sent)
         # An error may be the statement's own: what no engine can use must not make all of them look sick, so
         # it marks its engine only once another one has served the same request.
         if event.status is Status.ERROR:
             r.erred_on.append(e)
         for sick in r.erred_on if served else ():
+            sick.errors.value = max(sick.errors.value, PROVEN)  # it is the engine's, and few more will tell
             sick.errors.add(1.0)
         if served or event.status in FAULTS:
             e.errors.add(0.0 if served else 1.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -28,3 +28,50 @@
         answered(rig, 0.5, 6.0, slow=(0.15, 30.0))
     drawn = Counter(send.engine for send in rig.sends()[before:])
     assert drawn["10.0.0.1:80"] < 200 / 8 / 3
+
+
+def test_an_attempt_that_was_cut_tells_how_slow_its_engine_is() -> None:
+    # All that runs there is stopped at its aim, so no answer ever says how long it would have taken.
+    rig = Rig(settings(instances=40), engines=8)
+    slow = "10.0.0.1:80"
+    for _ in range(160):
+        request = rig.ask(SAFE, 100.0)
+        while (engine := rig.sends(request)[-1].engine) == slow and not rig.answers(request):
+            rig.pass_time(100.0)
+            if rig.cancels(request):
+                rig.end(request, Status.CANCELLED, 900.0)
+                break
+        else:
+            if engine != slow:
+                rig.end(request, Status.OK, 100.0, work_ms=100.0)
+        rig.pass_time(20.0)
+    late = Counter(send.engine for send in rig.sends()[-100:])
+    assert rig.gateway.engines[slow].pace.value > 1.5
+    assert late[slow] < 100 / 8 / 3
+
+
+def test_one_error_that_another_engine_disproves_is_enough_to_turn_most_away() -> None:
+    rig = Rig(settings(instances=40), engines=8)
+    for _ in range(60):
+        rig.end(rig.ask(SAFE, 100.0), Status.OK, 100.0, work_ms=100.0)
+        rig.pass_time(20.0)
+    request = rig.ask(SAFE, 100.0)
+    sick = rig.sends(request)[0].engine
+    rig.end(request, Status.ERROR, 20.0)
+    rig.end(request, Status.OK, 100.0, work_ms=100.0)
+    assert rig.gateway.marks(rig.gateway.engines[sick]) < 0.25
+
+
+def test_gateways_prefer_different_engines_and_cover_all_of_them_evenly() -> None:
+    drawn, first = Counter[str](), Counter[str]()
+    for seed in range(40):
+        rig, mine = Rig(settings(instances=40), engines=30, seed=seed), Counter[str]()
+        for _ in range(30):
+            request = rig.ask(SAFE, 100.0, group=7.0)  # the same tables everywhere
+            rig.end(request, Status.OK, 100.0, work_ms=100.0)
+            rig.pass_time(100.0)
+            mine[rig.sends(request)[0].engine] += 1
+        drawn += mine
+        first[mine.most_common(1)[0][0]] += 1
+    assert max(drawn.values()) < 3.0 * 40 * 30 / 30 and len(drawn) == 30
+    assert max(first.values()) <= 8  # no engine is the favourite of a fifth of them
