--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -90,7 +90,7 @@
         self.pace.add(pace)
 
     def cut(self, r: Request, e: Engine, ran: float) -> None:
-        """An attempt that was stopped tells how slow its engine is at least; if all are, nothing else does."""
+        """An attempt that was stopped tells how slow its engine is at least; often nothing else does."""
         pace = min(10.0, ran * r.spec.threads / r.cost / max(0.1, self.of[r.klass].pace.value))
         if pace > e.pace.value:
             e.pace.add(pace)
