Start cold engines with light work, count cores by warmth, keep stopped calls' connections

Ruled out: refused connects (none) and engines not told in time (the new ones were sent to at once). At fault: cold_part reckoned with the largest class for light queries too, a quarter of the budget used; pressure, counter_full and turned_away counted cold cores in full, so that idle engines hid the jam; HttpCall.ask released a connection whose answer was still to come. Change: beside warm engines only light queries start cold ones, heavy ones from 0.6 of warmth; cores count by warmth; drop deletes at once and then reads the answer that the stopped call waited for.

--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -31,6 +31,7 @@
 PROBES_PER_REQUEST, PROBES_SAVED = 0.4, 8.0  # probes that a request earns, and saved at most
 LOOK_AT, STALE_MS, FRESH_MS, HOLD_MS = 4, 500.0, 700.0, 25.0  # engines looked at; ages; wait for answers
 BUSY_AT_CAPACITY, COLD_SAFETY, COLD_SIGMAS = 0.85, 1.0, 2.0  # busy cores; cold budget's part used; scatter
+LIGHT_PART, LIGHT_LEAST, HEAVY_FROM = 0.08, 0.1, 0.6  # of a cold budget; of work; warmth for all
 FAULTS = (Status.RESET, Status.CONNECT_FAILED, Status.FULL)  # full, since what hangs fills up
 PROVEN = 0.4  # share of errors that the first one is read as which is surely its engine's
 ERRORS_MOST = 2  # engines that may answer with an error before the request counts as at fault
@@ -123,6 +124,9 @@
         self.taken, self.extras = (Window(self.ration.window_ms + 2.0) for _ in range(2))
         self.pool, self.late, self.typical, self.busy, self.count = (Mean(BUSY_STEP) for _ in range(5))
         self.opening: list[Action] = [Watch()] if settings.discovery is Discovery.ASK else []
+        self.work, self.light = Mean(BUSY_STEP), Mean(BUSY_STEP)  # thread-milliseconds, of all and of light
+        usual = sum(settings.cores_by_kind) / max(1, len(settings.cores_by_kind))
+        self.light_ms = LIGHT_PART * settings.fall_multiple * settings.cold_from * usual * settings.fall_ms
         self.salt = self.random.getrandbits(32)
         self.probe_credit, self.now, self.token, self.actions = 0.0, 0.0, 0, list[Action]()
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -146,7 +150,7 @@
     def pressure(self, k: int) -> float:
         """0 when calm to 1 when full: by threads a core on the engines open to the class, or by lateness."""
         engines = self.open_to(k)
-        load = sum(self.load(e) * e.cores for e in engines) / max(1.0, sum(e.cores for e in engines))
+        load = sum(self.load(e) * e.cores for e in engines) / max(1.0, self.capacity(engines))
         late: float = self.late.value * 0.5 ** ((self.now - self.late.at) / TRUST_HALF_MS)
         late = (late - LATE_CALM) / (LATE_FULL - LATE_CALM)  # utilisation hides what waits, lateness does not
         return min(1.0, max(0.0, late, (load - CALM_LOAD) / (FULL_LOAD - CALM_LOAD)))
@@ -166,7 +170,7 @@
                 if r.cost <= self.cache.mean(r.klass) * MULTIPLE_CALM * (MULTIPLE_FULL / MULTIPLE_CALM) ** p:
                     return ""
                 learned.expensive.add(r.cost)
-                cores = sum(e.cores for e in self.open_to(r.klass)) / self.settings.instances
+                cores = self.capacity(self.open_to(r.klass)) / self.settings.instances
                 rate = cores * 1000.0 / learned.expensive.value * (1.0 - p) ** 2
                 within = rule.bucket.take(self.now, rate, max(1.0, rate * BURST_S), self.random)
                 return "" if within or p <= BINDS_AT or not learned.mean.n else "too costly under pressure"
@@ -185,7 +189,7 @@
     def counter_full(self, r: Request) -> bool:
         """Own threads against this gateway's part of the cores; past the knee, more of them do less work."""
         engines = self.open_to(r.klass)
-        cores = sum(e.cores for e in engines) / self.settings.instances
+        cores = self.capacity(engines) / self.settings.instances
         most = COUNTER * cores * (COUNTER_CALM - (COUNTER_CALM - 1.0) * self.pressure(r.klass))
         most *= COUNTER_TOP if self.cache.worth(r.klass) >= TOP_WORTH else 1.0
         most *= COUNTER_HEAVY if r.cost > self.cache.mean(r.klass) else 1.0
@@ -202,6 +206,10 @@
         c, ready = self.settings.classes[k], EngineState.READY
         return [e for e in self.engines.values() if e.entry.state is ready and c.allows(e.entry)]
 
+    def capacity(self, engines: list[Engine]) -> float:
+        """Cores that are surely there: after a release most engines may be cold, and idle by order."""
+        return sum(e.cores * self.warmth(e) for e in engines)
+
     def load(self, e: Engine) -> float:
         """Threads a core: own ones, and the others' by report; an old one fades into those of all."""
         trust: float = 0.5 ** max(0.0, (self.now - e.report_at) / TRUST_HALF_MS)
@@ -228,12 +236,20 @@
             return 1.0
         return s.cold_from + (1.0 - s.cold_from) * ((self.now - start) / s.cold_ms) ** 2
 
-    def cold_part(self, e: Engine, cores: float) -> float:
-        """Guards a cold engine: drawn so seldom that all gateways' sends, with scatter, fit its budget."""
-        s, size = self.settings, max(self.cache.mean(k) for k in range(len(self.cache.classes)))
+    def cold_part(self, r: Request, e: Engine, cores: float, alone: bool) -> float:
+        """Guards a cold engine: drawn so seldom that all gateways' sends, with scatter, fit its budget.
+
+        Light queries scatter less, so that more work fits: beside warm engines only they start one up.
+        """
+        s, size, share = self.settings, max(self.cache.mean(k) for k in range(len(self.cache.classes))), 1.0
         multiple = s.fall_multiple * self.warmth(e) * COLD_SAFETY
+        if not alone and r.cost <= self.light_ms:
+            size, share = self.light_ms, max(LIGHT_LEAST, self.light.value / max(1.0, self.work.value))
+        elif not alone and self.warmth(e) < HEAVY_FROM:
+            return 0.0
         grain = COLD_SIGMAS**2 * size / max(1.0, multiple * BUSY_AT_CAPACITY * e.cores * s.fall_ms)
-        return multiple * (math.sqrt(grain + 4.0) - math.sqrt(grain)) ** 2 / 4.0 * e.cores / max(1.0, cores)
+        part = multiple * (math.sqrt(grain + 4.0) - math.sqrt(grain)) ** 2 / 4.0
+        return part * e.cores / max(1.0, cores) / share
 
     def preferred(self, e: Engine) -> bool:
         """Whether an engine is one of the few that this gateway prefers, drawn anew for each gateway.
@@ -261,7 +277,8 @@
             blocked = r.group in e.held and (r.spec.is_load or r.spec.waits_for_loads)
             weights.append(w * (OWN_GAIN if self.preferred(e) else 1.0) * (HELD_FACTOR if blocked else 1.0))
         warm = sum(w for e, w in zip(engines, weights, strict=True) if self.warmth(e) >= 1.0)
-        weights = [w if self.warmth(e) >= 1.0 else min(w, self.cold_part(e, cores) * (warm or 1.0))
+        weights = [w if self.warmth(e) >= 1.0 else
+                   min(w, self.cold_part(r, e, cores, not warm) * (warm or 1.0))
                    for e, w in zip(engines, weights, strict=True)]
         nobody = 0.0 if warm else max(0.0, 1.0 - sum(weights))
         return self.random.choices([*engines, None], [*weights, nobody])[0] if engines else None
@@ -339,6 +356,8 @@
         r = Request.of(event, spec)
         r.cost = self.cache.predict(r.klass, r.group, r.told)
         self.typical.add(r.cost)
+        self.work.add(r.cost)
+        self.light.add(r.cost if r.cost <= self.light_ms else 0.0)
         r.deadline = self.now + (event.budget_ms if usable(event.budget_ms) else 0.0) - DEADLINE_MARGIN_MS
         aim = self.now + spec.promise_ms + spec.aim_stretch * r.cost * AIM_SLACK / spec.threads
         r.useful_until = r.deadline if spec.late_worth > 0.0 else min(r.deadline, aim)
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 # An engine answers within 250 ms; one that has not by then is silent. A query must be asked for every
 # 2 s, so a silent call is given up early enough to ask again on another connection.
 SILENT_MS = 800.0
+NEWS_MS = 300.0  # for an answer to a call that nobody waits for any more
 BREAKS_MOST = 6  # broken answers in a row before the query counts as lost with its engine
 # A DELETE on another connection must not overtake the POST that it takes back.
 OVERTAKE_MS = 20.0
@@ -47,6 +49,7 @@
         self.fields, self.errand, self.address = transport.report_fields, errand, errand.engine.address
         self.posted_ms = 0.0  # when the POST had gone whole; 0 before
         self.ended = False
+        self.unread: Connection | None = None  # where the answer to a call that was stopped is still to come
 
     @abstractmethod
     def post(self, limit_ms: int) -> tuple[str, list[tuple[str, str]], bytes]:
@@ -82,15 +85,16 @@
             if not errand.may_go():  # it began to drain, or was replaced, while the connection came up
                 raise self.end(Status.MOOT, "the engine takes nothing new")
             path, headers, body = self.post(max(1, math.ceil(until_ms - self.deadlines.clock())))
-            with self.deadlines.limit(self.deadlines.clock() + SILENT_MS):
-                answer = await connection.exchange("POST", path, headers, body)
+            with self.deadlines.limit(self.deadlines.clock() + SILENT_MS) as silence:
+                answer = await self._exchange(connection, silence, "POST", path, headers, body)
                 return self._read(connection, answer, self.read)
         except Broken as error:
             why = str(error)
         finally:
             if connection.whole:
                 self.posted_ms = self.deadlines.clock()
-            self.pool.release(connection, self.address)
+            if connection is not self.unread:
+                self.pool.release(connection, self.address)
         if not self.posted_ms:  # it never came whole, so nothing is out; for a load that is no proof yet
             raise self.end(Status.RESET, f"the engine does not read: {why}")
         if not self.path:
@@ -108,13 +112,22 @@
 
     async def drop(self) -> None:
         """DELETE the query once its POST went whole; bounded, since the machine may be silent."""
-        if self.ended or not self.posted_ms or not self.path:
-            return
-        with trio.CancelScope(shield=True), self.deadlines.limit(self.deadlines.clock() + DROP_MS) as limit:
-            await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
-            await self.side_call("DELETE", self.path)
-        if limit.cancelled_caught:
-            self.pool.counters.add("engine.drops_in_vain")
+        connection, self.unread = self.unread, None
+        try:
+            if self.ended or not self.posted_ms or not self.path:
+                return
+            until_ms = self.deadlines.clock() + DROP_MS
+            with trio.CancelScope(shield=True), self.deadlines.limit(until_ms) as limit:
+                await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
+                await self.side_call("DELETE", self.path)
+                if connection is not None:  # with its query gone the engine has nothing to wait for either
+                    with contextlib.suppress(Broken), self.deadlines.limit(self.deadlines.clock() + NEWS_MS):
+                        await connection.rest()
+            if limit.cancelled_caught:
+                self.pool.counters.add("engine.drops_in_vain")
+        finally:
+            if connection is not None:
+                self.pool.release(connection, self.address)
 
     async def side_call(self, method: str, path: str, body: bytes = b"") -> None:
         """Make a call whose answer tells nothing, on another connection than the one that asks.
@@ -148,9 +161,9 @@
         while True:
             connection = None
             try:
-                with self.deadlines.limit(self.deadlines.clock() + SILENT_MS):
+                with self.deadlines.limit(self.deadlines.clock() + SILENT_MS) as silence:
                     connection = await self.pool.acquire(self.address, fresh=fresh)
-                    answer = await connection.exchange("GET", path, self.headers, b"")
+                    answer = await self._exchange(connection, silence, "GET", path, self.headers, b"")
                     return self._read(connection, answer, read)
             except ConnectFailed as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):  # its process has gone
@@ -162,10 +175,24 @@
                 if breaks >= BREAKS_MOST:
                     raise AttemptFailed(Status.RESET, str(error)) from error
             finally:
-                if connection is not None:
+                if connection is not None and connection is not self.unread:
                     self.pool.release(connection, self.address)
             fresh = True
 
+    async def _exchange(self, connection: Connection, silence: trio.CancelScope, method: str, path: str,
+                        headers: list[tuple[str, str]], body: bytes) -> Answer:
+        """Make a call; where it is stopped before its answer, if not for silence, ``drop`` reads it.
+
+        Closing there would cost a handshake for the next query: with many engines and few requests to each,
+        there is seldom another connection at hand.
+        """
+        try:
+            return await connection.exchange(method, path, headers, body)
+        except trio.Cancelled:
+            if connection.awaits and not silence.cancel_called:
+                self.unread = connection
+            raise
+
     @staticmethod
     def _read(connection: Connection, answer: Answer, read: Callable[[Answer], T]) -> T:
         """Read an answer; a connection that has brought what is none carries no further call."""
--- a/fordstair/net/http_client.py
+++ b/fordstair/net/http_client.py
@@ -73,6 +73,19 @@
                 ValueError) as error:
             raise Broken(str(error) or type(error).__name__) from error
 
+    async def rest(self) -> Answer:
+        """Read the answer to a call whose caller was stopped while it waited, where ``awaits`` is true."""
+        try:
+            return await self._answer()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, ssl.SSLError,
+                ValueError) as error:
+            raise Broken(str(error) or type(error).__name__) from error
+
+    @property
+    def awaits(self) -> bool:
+        """Whether a call has gone whole and nothing of its answer has been read."""
+        return self.whole and self._h11.our_state is h11.DONE and self._h11.their_state is h11.SEND_RESPONSE
+
     async def _answer(self) -> Answer:
         status, headers, parts, size = 0, dict[bytes, bytes](), list[bytes](), 0
         while True:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -56,6 +56,7 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection."""
+        self.calls["connections"] += 1
         http = h11.Connection(h11.SERVER)
         request: h11.Request | None = None
         body = b""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,8 +4,8 @@
 
 from collections import Counter
 
-from cairnhoist.interface import Status
-from tests.helpers import SAFE, Rig, settings
+from cairnhoist.interface import ListKind, Status
+from tests.helpers import SAFE, Rig, entry, settings
 
 REPORTS = settings(report_fields=("util", "inflight"), instances=40)
 
@@ -75,3 +75,38 @@
         first[mine.most_common(1)[0][0]] += 1
     assert max(drawn.values()) < 3.0 * 40 * 30 / 30 and len(drawn) == 30
     assert max(first.values()) <= 8  # no engine is the favourite of a fifth of them
+
+
+def after_a_release(seed: int) -> Rig:
+    """Twelve warm engines, and eighteen that have just started."""
+    rig = Rig(settings(instances=40), engines=0, seed=seed)
+    rig.members(*(entry(i) for i in range(1, 13)), *(entry(i, started=990.0) for i in range(13, 31)),
+                kind=ListKind.FULL)
+    return rig
+
+
+def test_new_engines_start_up_with_light_work_within_their_budget() -> None:
+    sent, light, heavy = Counter[str](), Counter[bool](), Counter[bool]()
+    for seed in range(40):
+        rig = after_a_release(seed)
+        for number in range(24):  # one second of full load: 30 engines of 8 cores, over 40 gateways
+            cost = 1_500.0 if number % 12 == 0 else 100.0
+            request = rig.ask(SAFE, cost)
+            for send in rig.sends(request):
+                cold = int(send.engine.split(".")[3].split(":")[0]) > 12
+                (light if cost < 200.0 else heavy)[cold] += 1
+                sent[send.engine] += int(cost) if cold else 0
+            rig.pass_time(40.0)
+            if rig.sends(request):
+                rig.end(request, Status.OK, 40.0, work_ms=cost)
+    assert light[True] > 0.15 * light.total(), (light, heavy, sent)
+    assert not heavy[True]  # a few of those would spend the whole budget
+    assert max(sent.values()) < 3.0 * 0.3 * 0.85 * 8.0 * 2_000.0  # thread-milliseconds within the window
+
+
+def test_cold_cores_count_by_their_warmth_where_pressure_is_judged() -> None:
+    rig = after_a_release(1)
+    for engine in list(rig.gateway.engines.values())[:12]:
+        engine.others.value, engine.report_at = 2.0 * engine.cores, rig.now
+    assert rig.gateway.pressure(SAFE) > 0.1  # 24 threads a core on 12 engines, and 5.4 engines' worth beside
+    assert rig.gateway.capacity(list(rig.gateway.engines.values())) < 8.0 * (12 + 18 * 0.31)
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -87,6 +87,23 @@
     play(scene)
 
 
+def test_queries_given_up_one_after_the_other_cost_no_new_connections() -> None:
+    async def scene() -> None:
+        async with engine(never) as one, program(config(one.address)) as node:
+            client = await node.client()
+            for number in range(1, 9):
+                await client.ask("settlement", limit="20000")
+                while len(one.posts) < number:
+                    await trio.sleep(0.02)
+                await client.send([2, "cancelRequest", [number]])
+                while len(one.deleted) < number:
+                    await trio.sleep(0.02)
+                await trio.sleep(0.1)
+            assert one.calls["connections"] <= 2  # one that asks, one beside it
+
+    play(scene)
+
+
 def test_what_may_still_run_is_given_up_before_a_second_attempt() -> None:
     order: list[str] = []
 
