Send nothing further while a query that left whole may begin yet

Each had gone whole, over a connection that was open, to a machine that was cut off; it was given up after 0.3 s, its DELETE found nobody within 0.6 s or was answered late, or a GET was told 500 by the machine that had just come back, and a further attempt went out before the POST was read. At fault: HttpCall.drop took a DELETE in vain or late, and ask a 500, for the end of what was never heard of. Change: drop says whether the query may begin yet; the module then gives it up at once, as a refusal where a repeat does no harm. Bytes that came but were not read here count as heard of.

--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -501,6 +501,8 @@
         r.out = None if r.out is a else r.out
         if event.complete or served:
             self.finish(r)
+        elif not r.finished and event.loose:
+            self.give_up(r, "an attempt may begin yet")  # a further one would be a second one beside it
         elif not r.finished:
             self.dispatch(r)
         self.pump(self.lines.get(r.key_line))
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -199,6 +199,7 @@
             call = self.transports[engine.protocol].call(
                 Errand(query, engine, live.urgency, limit_ms, partial(self._may_go, live, engine)))
             live.call, pages, status, report = call, list[bytes](), Status.CANCELLED, tuple[float, ...]()
+            loose = False
             with self.deadlines.limit(sent_ms + limit_ms) as live.scope:
                 try:
                     news = await call.start()
@@ -220,7 +221,7 @@
             if live.scope.cancelled_caught and self.deadlines.clock() >= sent_ms + limit_ms:
                 status = Status.TIMEOUT
             if status is not Status.OK:  # what may still run must be given up before the next attempt
-                await call.drop()
+                loose = not await call.drop()
             live.scope, live.call = None, None
             live.held_ms += (self.deadlines.clock() - sent_ms) * self.settings.classes[query.klass].threads
             self.counters.add(f"outcome.{status.value}")
@@ -228,7 +229,7 @@
                 self.answer(live, "served", partial(live.reply.served, pages))
             self.tell(AttemptEnded(
                 live.id, number, order.engine, status, self.deadlines.clock() - sent_ms,
-                complete=live.over, report=report))
+                complete=live.over, report=report, loose=loose))
 
     def arrival(self, live: Live) -> RequestArrived:
         """Return the request as the module is told it now, with the time that it has left."""
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -89,8 +89,11 @@
     async def further(self) -> bytes | None:
         """Fetch the next page of the result; None when there are no more."""
 
-    async def drop(self) -> None:
-        """Give the query up at the engine, if it may have got there; never takes long."""
+    async def drop(self) -> bool:
+        """Give the query up at the engine, if it may have got there; never takes long.
+
+        False where it may begin yet: it left whole, but nothing shows that the engine ever read it.
+        """
 
     async def hurry(self, urgency: int) -> None:
         """Tell a new priority of running work."""
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -23,6 +23,7 @@
 # A DELETE on another connection must not overtake the POST that it takes back.
 OVERTAKE_MS = 20.0
 DROP_MS = 600.0
+PROMPT_MS = 500.0  # from a POST to the answer to its DELETE, at an engine that is there
 AGAIN_MS = 50.0
 
 T = TypeVar("T")
@@ -48,7 +49,9 @@
         self.pool, self.deadlines = transport.pool, transport.deadlines
         self.fields, self.errand, self.address = transport.report_fields, errand, errand.engine.address
         self.posted_ms = 0.0  # when the POST had gone whole; 0 before
+        self.sent_ms = 0.0  # when the POST began to go
         self.ended = False
+        self.heard = False  # something shows that the engine has read the POST, or never will
         self.unread: Connection | None = None  # where the answer to a call that was stopped is still to come
 
     @abstractmethod
@@ -85,16 +88,21 @@
             if not errand.may_go():  # it began to drain, or was replaced, while the connection came up
                 raise self.end(Status.MOOT, "the engine takes nothing new")
             path, headers, body = self.post(max(1, math.ceil(until_ms - self.deadlines.clock())))
-            with self.deadlines.limit(self.deadlines.clock() + SILENT_MS) as silence:
-                answer = await self._exchange(connection, silence, "POST", path, headers, body)
+            self.sent_ms = self.deadlines.clock()
+            with self.deadlines.limit(self.sent_ms + SILENT_MS):
+                answer = await connection.exchange("POST", path, headers, body)
+                self.heard = True
                 return self._read(connection, answer, self.read)
         except Broken as error:
             why = str(error)
         finally:
             if connection.whole:
                 self.posted_ms = self.deadlines.clock()
-            if connection is not self.unread:
-                self.pool.release(connection, self.address)
+                # What has come and is not read yet: then it is this program that is late, not the engine.
+                self.heard = self.heard or connection.sock.is_readable()
+            # One that was stopped closes at once: a machine that was cut off and comes back would read the
+            # POST from it, and run the query beside the next attempt.
+            self.pool.release(connection, self.address)
         if not self.posted_ms:  # it never came whole, so nothing is out; for a load that is no proof yet
             raise self.end(Status.RESET, f"the engine does not read: {why}")
         if not self.path:
@@ -110,12 +118,12 @@
         """Ask until there is an answer; a silent machine is asked again until the attempt is given up."""
         return await self.ask(self.news_path, self.read)
 
-    async def drop(self) -> None:
+    async def drop(self) -> bool:
         """DELETE the query once its POST went whole; bounded, since the machine may be silent."""
         connection, self.unread = self.unread, None
         try:
             if self.ended or not self.posted_ms or not self.path:
-                return
+                return self.heard or not self.posted_ms
             until_ms = self.deadlines.clock() + DROP_MS
             with trio.CancelScope(shield=True), self.deadlines.limit(until_ms) as limit:
                 await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
@@ -125,6 +133,10 @@
                         await connection.rest()
             if limit.cancelled_caught:
                 self.pool.counters.add("engine.drops_in_vain")
+            # A machine that said nothing for longer than an engine may take was cut off, and reads the POST
+            # after the DELETE perhaps.
+            prompt = not limit.cancelled_caught and self.deadlines.clock() < self.sent_ms + PROMPT_MS
+            return self.heard or prompt
         finally:
             if connection is not None:
                 self.pool.release(connection, self.address)
@@ -163,10 +175,11 @@
             try:
                 with self.deadlines.limit(self.deadlines.clock() + SILENT_MS) as silence:
                     connection = await self.pool.acquire(self.address, fresh=fresh)
-                    answer = await self._exchange(connection, silence, "GET", path, self.headers, b"")
+                    answer = await self._get(connection, path, silence)
                     return self._read(connection, answer, read)
             except ConnectFailed as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):  # its process has gone
+                    self.heard = True
                     raise self.end(Status.RESET, str(error)) from error
                 await self.deadlines.sleep(AGAIN_MS)  # an error that comes at once must not spin
             except Broken as error:
@@ -179,15 +192,18 @@
                     self.pool.release(connection, self.address)
             fresh = True
 
-    async def _exchange(self, connection: Connection, silence: trio.CancelScope, method: str, path: str,
-                        headers: list[tuple[str, str]], body: bytes) -> Answer:
-        """Make a call; where it is stopped before its answer, if not for silence, ``drop`` reads it.
+    async def _get(self, connection: Connection, path: str, silence: trio.CancelScope) -> Answer:
+        """Make a GET; where it is stopped before its answer, if not for silence, ``drop`` reads it.
 
         Closing there would cost a handshake for the next query: with many engines and few requests to each,
-        there is seldom another connection at hand.
+        there is seldom another connection at hand. A GET that is read late starts nothing.
         """
         try:
-            return await connection.exchange(method, path, headers, body)
+            answer = await connection.exchange("GET", path, self.headers, b"")
+            # An engine that does not know the query may get it yet: what a machine that was cut off has been
+            # sent on another connection reaches it later than this call.
+            self.heard = self.heard or answer.status != 500
+            return answer
         except trio.Cancelled:
             if connection.awaits and not silence.cancel_called:
                 self.unread = connection
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -110,3 +110,12 @@
         engine.others.value, engine.report_at = 2.0 * engine.cores, rig.now
     assert rig.gateway.pressure(SAFE) > 0.1  # 24 threads a core on 12 engines, and 5.4 engines' worth beside
     assert rig.gateway.capacity(list(rig.gateway.engines.values())) < 8.0 * (12 + 18 * 0.31)
+
+
+def test_an_attempt_that_may_begin_yet_is_followed_by_no_other() -> None:
+    rig = Rig(settings(instances=40), engines=8)
+    for loose in (False, True):
+        request = rig.ask(SAFE, 100.0)
+        rig.end(request, Status.CANCELLED, 900.0, loose=loose)
+        assert len(rig.sends(request)) == (1 if loose else 2)
+        assert bool(rig.answers(request)) == loose
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+from contextlib import suppress
+from functools import partial
 from types import SimpleNamespace
 
 import msgpack
@@ -93,7 +95,8 @@
             client = await node.client()
             for number in range(1, 9):
                 await client.ask("settlement", limit="20000")
-                while len(one.posts) < number:
+                asked = one.calls["GET"]
+                while len(one.posts) < number or one.calls["GET"] == asked:
                     await trio.sleep(0.02)
                 await client.send([2, "cancelRequest", [number]])
                 while len(one.deleted) < number:
@@ -104,6 +107,35 @@
     play(scene)
 
 
+def test_a_post_that_nobody_waits_for_any_more_cannot_be_read_late() -> None:
+    """A machine that was cut off and comes back reads what is in its open connections."""
+    ends: list[bool] = []
+
+    async def cut_off(stream: trio.SocketStream) -> None:
+        first = await stream.receive_some(65536)
+        if not bytes(first).startswith(b"POST"):
+            await trio.sleep_forever()  # the DELETE finds nobody
+        with trio.move_on_after(0.4) as late, suppress(trio.BrokenResourceError):
+            await stream.receive_some(65536)
+        ends.append(not late.cancelled_caught)
+
+    async def scene() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(partial(trio.serve_tcp, cut_off, 0, host="127.0.0.1"))
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            async with program(config(address)) as node:
+                client = await node.client()
+                await client.ask("settlement", limit="20000")
+                await trio.sleep(0.1)
+                await client.send([2, "cancelRequest", [1]])
+                while not ends:
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+        assert ends == [True]
+
+    play(scene)
+
+
 def test_what_may_still_run_is_given_up_before_a_second_attempt() -> None:
     order: list[str] = []
 
@@ -151,8 +183,8 @@
     async def further(self) -> bytes | None:
         raise AssertionError
 
-    async def drop(self) -> None:
-        pass
+    async def drop(self) -> bool:
+        return True
 
     async def hurry(self, urgency: int) -> None:
         pass
