Count a DELETE as prompt only within 300 ms of its POST

An engine answers a POST within 250 ms, so one not heard of at 300 ms was cut off; a DELETE answered up to 500 ms after the POST still counted as its end, though the machine may have come back in between and read the POST later. At fault: PROMPT_MS in engine_call. Change: 300 instead of 500.

--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -23,7 +23,7 @@
 # A DELETE on another connection must not overtake the POST that it takes back.
 OVERTAKE_MS = 20.0
 DROP_MS = 600.0
-PROMPT_MS = 500.0  # from a POST to the answer to its DELETE, at an engine that is there
+PROMPT_MS = 300.0  # from a POST to the answer to its DELETE, at an engine that is there
 AGAIN_MS = 50.0
 
 T = TypeVar("T")
