Compute warmth and each engine's place once, and drop what stood twice

The mean of all work was kept twice (typical, work); a draw asked for each engine's warmth up to four times, hashed every engine anew, and took the largest class mean also for light queries; exchange and rest told the same errors by two lists; a console was cut by the same lines in two places; the laboratory and the log had clocks of their own. Change: one mean, one list of warmths a draw, the place drawn when an engine is listed, one list of what breaks a connection, Door._send for both, core.clock for both. No behaviour changes.

--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -124,7 +124,7 @@
         self.taken, self.extras = (Window(self.ration.window_ms + 2.0) for _ in range(2))
         self.pool, self.late, self.typical, self.busy, self.count = (Mean(BUSY_STEP) for _ in range(5))
         self.opening: list[Action] = [Watch()] if settings.discovery is Discovery.ASK else []
-        self.work, self.light = Mean(BUSY_STEP), Mean(BUSY_STEP)  # thread-milliseconds, of all and of light
+        self.light = Mean(BUSY_STEP)  # thread-milliseconds of light requests, over all: a part of the typical
         usual = sum(settings.cores_by_kind) / max(1, len(settings.cores_by_kind))
         self.light_ms = LIGHT_PART * settings.fall_multiple * settings.cold_from * usual * settings.fall_ms
         self.salt = self.random.getrandbits(32)
@@ -236,17 +236,19 @@
             return 1.0
         return s.cold_from + (1.0 - s.cold_from) * ((self.now - start) / s.cold_ms) ** 2
 
-    def cold_part(self, r: Request, e: Engine, cores: float, alone: bool) -> float:
+    def cold_part(self, r: Request, e: Engine, warmth: float, cores: float, alone: bool) -> float:
         """Guards a cold engine: drawn so seldom that all gateways' sends, with scatter, fit its budget.
 
         Light queries scatter less, so that more work fits: beside warm engines only they start one up.
         """
-        s, size, share = self.settings, max(self.cache.mean(k) for k in range(len(self.cache.classes))), 1.0
-        multiple = s.fall_multiple * self.warmth(e) * COLD_SAFETY
+        s = self.settings
         if not alone and r.cost <= self.light_ms:
-            size, share = self.light_ms, max(LIGHT_LEAST, self.light.value / max(1.0, self.work.value))
-        elif not alone and self.warmth(e) < HEAVY_FROM:
+            size, share = self.light_ms, max(LIGHT_LEAST, self.light.value / max(1.0, self.typical.value))
+        elif alone or warmth >= HEAVY_FROM:
+            size, share = max(self.cache.mean(k) for k in range(len(self.cache.classes))), 1.0
+        else:
             return 0.0
+        multiple = s.fall_multiple * warmth * COLD_SAFETY
         grain = COLD_SIGMAS**2 * size / max(1.0, multiple * BUSY_AT_CAPACITY * e.cores * s.fall_ms)
         part = multiple * (math.sqrt(grain + 4.0) - math.sqrt(grain)) ** 2 / 4.0
         return part * e.cores / max(1.0, cores) / share
@@ -257,8 +259,7 @@
         Where there are many of both, each would meet every engine too seldom to learn of it, and at a new
         connection each time; the choices of all together still cover the engines evenly.
         """
-        place = crc32(f"{self.salt}|{e.entry.engine}".encode()) / 2.0**32 * len(self.engines)
-        return place < OWN
+        return e.place * len(self.engines) < OWN
 
     def allowed(self, r: Request) -> list[Engine]:
         engines = self.open_to(r.klass)
@@ -270,16 +271,17 @@
         """The report-weighted draw; None where all are cold and their budgets leave no room."""
         mean, weights = sum(self.load(e) for e in engines) / max(1, len(engines)), []
         cores = sum(e.cores for e in self.open_to(r.klass))
-        for e in engines:
+        warmths = [self.warmth(e) for e in engines]
+        for e, warmth in zip(engines, warmths, strict=True):
             # What fails fast or is refused looks idle: an engine with marks counts as loaded as the mean.
             load = max(self.load(e), mean if self.marks(e) < SOUND else 0.0)
-            w = e.cores * self.warmth(e) * self.health(e) / (LOAD_BASE + load) ** STEEPNESS
+            w = e.cores * warmth * self.health(e) / (LOAD_BASE + load) ** STEEPNESS
             blocked = r.group in e.held and (r.spec.is_load or r.spec.waits_for_loads)
             weights.append(w * (OWN_GAIN if self.preferred(e) else 1.0) * (HELD_FACTOR if blocked else 1.0))
-        warm = sum(w for e, w in zip(engines, weights, strict=True) if self.warmth(e) >= 1.0)
-        weights = [w if self.warmth(e) >= 1.0 else
-                   min(w, self.cold_part(r, e, cores, not warm) * (warm or 1.0))
-                   for e, w in zip(engines, weights, strict=True)]
+        warm = sum(w for w, warmth in zip(weights, warmths, strict=True) if warmth >= 1.0)
+        weights = [w if warmth >= 1.0 else
+                   min(w, self.cold_part(r, e, warmth, cores, not warm) * (warm or 1.0))
+                   for e, w, warmth in zip(engines, weights, warmths, strict=True)]
         nobody = 0.0 if warm else max(0.0, 1.0 - sum(weights))
         return self.random.choices([*engines, None], [*weights, nobody])[0] if engines else None
 
@@ -313,7 +315,9 @@
             if entry.state is EngineState.GONE:
                 self.engines.pop(entry.engine, None)
                 continue
-            e = self.engines.setdefault(entry.engine, Engine(entry))
+            if (e := self.engines.get(entry.engine)) is None:
+                place = crc32(f"{self.salt}|{entry.engine}".encode()) / 2.0**32
+                e = self.engines[entry.engine] = Engine(entry, place)
             if entry.started_ms > e.entry.started_ms or not e.cores:  # a new process owns no old marks
                 e.errors, e.pace, e.others, e.strikes = Mean(0.15), Mean(0.15, 1.0, 10), Mean(0.3), 0.0
             e.fit(entry, self.settings)
@@ -356,7 +360,6 @@
         r = Request.of(event, spec)
         r.cost = self.cache.predict(r.klass, r.group, r.told)
         self.typical.add(r.cost)
-        self.work.add(r.cost)
         self.light.add(r.cost if r.cost <= self.light_ms else 0.0)
         r.deadline = self.now + (event.budget_ms if usable(event.budget_ms) else 0.0) - DEADLINE_MARGIN_MS
         aim = self.now + spec.promise_ms + spec.aim_stretch * r.cost * AIM_SLACK / spec.threads
--- a/cairnhoist/state.py
+++ b/cairnhoist/state.py
@@ -134,6 +134,7 @@
     """One engine as this gateway sees it."""
 
     entry: EngineEntry
+    place: float = 0.0  # drawn anew at each gateway, from 0 to 1; those that stand lowest are preferred
     errors: Mean = field(default_factory=lambda: Mean(0.0))  # share of failing outcomes
     pace: Mean = field(default_factory=lambda: Mean(0.0))  # slowness against the others, 1 is alike
     others: Mean = field(default_factory=lambda: Mean(0.0))  # threads of other gateways, by reports
--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -10,7 +10,6 @@
 import re
 import socket
 import struct
-import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -20,6 +19,7 @@
 import h11
 import trio
 
+from fordstair.core.clock import now_ms
 from fordstair.lab.machine import Job, Machine
 
 READ_BYTES = 65_536
@@ -30,11 +30,6 @@
 _THREADS = {"lookup": 1, "settlement": 4, "meter-load": 2}
 
 
-def now_ms() -> float:
-    """Unix time."""
-    return time.time() * 1000.0
-
-
 @dataclass(slots=True)
 class Run:
     """One query that was started here."""
--- a/fordstair/logs/setup.py
+++ b/fordstair/logs/setup.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 from typing import Any
 
 import structlog
 from structlog.typing import EventDict, WrappedLogger
 
+from fordstair.core.clock import now_ms
 from fordstair.core.events import FIELDS
 from fordstair.logs.repeats import Repeats
 from fordstair.logs.sink import Sink
@@ -22,7 +22,7 @@
     """The one handler of an appliance's log."""
 
     def __init__(self, sink: Sink, form: str, window_ms: float,
-                 clock: Callable[[], float] = lambda: time.time() * 1000.0) -> None:
+                 clock: Callable[[], float] = now_ms) -> None:
         super().__init__()
         self.sink, self.clock, self.repeats = sink, clock, Repeats(window_ms)
         self.watchers: list[Watcher] = []
--- a/fordstair/net/door.py
+++ b/fordstair/net/door.py
@@ -158,9 +158,13 @@
             if len(buffer) > LARGEST_LINE:
                 return
 
-    async def _send(self, stream: trio.SocketStream, data: bytes) -> bool:
+    async def _send(self, stream: trio.SocketStream, data: bytes, taken: Taken | None = None,
+                    frames: int = 0) -> bool:
+        """Send, and wait until so many frames were taken where that is told; False where it is cut."""
         with self.deadlines.limit(self.deadlines.clock() + CUT_MS) as limit:
             await stream.send_all(data)
+            if taken is not None:
+                await taken.reach(frames)
         if limit.cancelled_caught:
             self.coordinator.counters.add("console.cut")
             log.warning("console.cut", after_ms=CUT_MS)
@@ -193,12 +197,7 @@
                 picture = self.look()
                 if picture.number > sent.number:
                     frames += 1
-                    with self.deadlines.limit(self.deadlines.clock() + CUT_MS) as limit:
-                        await stream.send_all(self._encoded(sent, picture))
-                        await taken.reach(frames)
-                    if limit.cancelled_caught:
-                        self.coordinator.counters.add("console.cut")
-                        log.warning("console.cut", after_ms=CUT_MS)
+                    if not await self._send(stream, self._encoded(sent, picture), taken, frames):
                         break
                     self.coordinator.counters.add("console.frames")
                     sent, sent_ms = picture, self.deadlines.clock()
--- a/fordstair/net/http_client.py
+++ b/fordstair/net/http_client.py
@@ -30,6 +30,14 @@
     """The connection ended, or what came is no HTTP; what was sent may have arrived."""
 
 
+# What reading and writing raise where Broken is meant.
+_BREAKS = (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, ssl.SSLError, ValueError)
+
+
+def _broken(error: Exception) -> Broken:
+    return Broken(str(error) or type(error).__name__)
+
+
 @dataclass(slots=True)
 class Answer:
     """One HTTP answer; header names are in lower case."""
@@ -69,17 +77,15 @@
             await self.stream.send_all(out)
             self.whole = True
             return await self._answer()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, ssl.SSLError,
-                ValueError) as error:
-            raise Broken(str(error) or type(error).__name__) from error
+        except _BREAKS as error:
+            raise _broken(error) from error
 
     async def rest(self) -> Answer:
         """Read the answer to a call whose caller was stopped while it waited, where ``awaits`` is true."""
         try:
             return await self._answer()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError, ssl.SSLError,
-                ValueError) as error:
-            raise Broken(str(error) or type(error).__name__) from error
+        except _BREAKS as error:
+            raise _broken(error) from error
 
     @property
     def awaits(self) -> bool:
