Rename the engines' command channel to net/command_channel.py, before coordinators' membership

Need: fordstair/membership/ will hold membership among coordinators; net/membership.py was the engines' command channel and its class was called Membership, so the two would be confused. Change: the module becomes net/command_channel.py and its class CommandChannel; behaviour is unchanged.

--- a/fordstair/config.py
+++ b/fordstair/config.py
@@ -13,7 +13,7 @@
 from cairnhoist.interface import ListKind, Settings
 from cairnhoist.wire import WireError, parse_settings
 from fordstair.core.ports import Engine
-from fordstair.net.membership import read_command
+from fordstair.net.command_channel import read_command
 
 
 class ConfigError(Exception):
--- a/fordstair/net/__init__.py
+++ b/fordstair/net/__init__.py
@@ -1,1 +1,1 @@
-"""The wires: fronts for clients, transports to engines, membership, identity and administration."""
+"""The wires: fronts for clients, transports to engines, the engines' command channel, identity, the door."""
--- a/fordstair/net/membership.py
+++ b/fordstair/net/command_channel.py
@@ -77,7 +77,7 @@
     return names.index(name) if isinstance(name, str) and name in names else 0
 
 
-class Membership:
+class CommandChannel:
     """Keeps connected to the channel and passes every event on, each once."""
 
     def __init__(self, channel: str, cursor: int, deliver: Deliver, deadlines: Deadlines,
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -17,8 +17,8 @@
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.events import Events
 from fordstair.core.ports import Engine, Transport
+from fordstair.net.command_channel import CommandChannel
 from fordstair.net.http_client import Pool
-from fordstair.net.membership import Membership
 from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
 from fordstair.net.rest_engine import RestTransport
 
@@ -81,7 +81,7 @@
 
             self.door = Door(config.name, self.coordinator, self.stop.set, operator.watchers)
         self.bound()
-        self.membership = Membership(
+        self.command_channel = CommandChannel(
             config.channel, config.cursor, self.members, self.deadlines, self.counters)
 
     def tls(self, address: str) -> ssl.SSLContext | None:
@@ -106,7 +106,7 @@
             await nursery.start(self.signals)
             nursery.start_soon(self.deadlines.run)
             await nursery.start(self.coordinator.run)
-            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.command_channel.run)
             if self.operator is not None and self.door is not None:
                 await nursery.start(self.door.run, self.operator.console)
             accepting = [trio.CancelScope()]
@@ -157,8 +157,8 @@
         self.config = replace(config, **{name: getattr(self.config, name) for name in fixed})
         self.bound()
         for event in config.known:
-            self.membership.take(*event)
-        self.membership.move(config.channel)
+            self.command_channel.take(*event)
+        self.command_channel.move(config.channel)
         if self.coordinator.turns is not None and config.budgets is not None:
             self.coordinator.turns.scheduler.set_shares(dict(config.budgets.shares), self.deadlines.clock())
         self.counters.add("config.reloads")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -13,7 +13,7 @@
 from cairnhoist.interface import EngineState
 from fordstair.config import ConfigError, flatten, parse
 from fordstair.core.statements import table_group
-from fordstair.net.membership import FrameError, read_frame, read_records
+from fordstair.net.command_channel import FrameError, read_frame, read_records
 from fordstair.net.messagepack import Incomplete, Malformed, read
 from fordstair.net.odata_model import EntitySet, ODataError, understand
 from fordstair.net.rest_engine import parse_note, parse_report
