--- a/fordstair/lab/virtual.py
+++ b/fordstair/lab/virtual.py
@@ -98,6 +98,20 @@
         self._number += 1
         heapq.heappush(self._heap, (time, self._number, do))
 
+    def replace(self, time: float, names: Iterable[str], cores: float) -> None:
+        """At a time after the day's start (ms), tell the module the whole list anew; new engines start cold.
+
+        Engines that leave the list keep running what they hold, as an engine that drains does.
+        """
+        listed = tuple(names)
+
+        def tell() -> None:
+            for name in listed:
+                self.machines.setdefault(name, Machine(cores))
+            self._feed(MembersChanged(ListKind.FULL, tuple(EngineEntry(name) for name in listed)))
+
+        self.at(FULL_FROM + time, tell)
+
     def run(self, arrivals: Iterable[Arrival]) -> list[Record]:
         """Play the traffic to its end; return a record for each request."""
         classes = {spec.name: k for k, spec in enumerate(self.settings.classes)}
