Tell the virtual site's whole list of engines in one place, and word the walk's depth truly

Need: on rereading, World.replace built the full list the way __init__ did, and the table walk's docstring said three levels where it reads four attributes deep.

--- a/fordstair/lab/virtual.py
+++ b/fordstair/lab/virtual.py
@@ -91,7 +91,7 @@
         self._jobs: dict[str, tuple[int, int]] = {}  # job: request, attempt
         self._reports: dict[str, tuple[float, tuple[float, float]]] = {}
         self._arrived: dict[int, RequestArrived] = {}
-        self._feed(MembersChanged(ListKind.FULL, tuple(EngineEntry(name) for name in machines)))
+        self._listed(machines)
 
     def at(self, time: float, do: Callable[[], None]) -> None:
         """Do something at a time."""
@@ -108,10 +108,13 @@
         def tell() -> None:
             for name in listed:
                 self.machines.setdefault(name, Machine(cores))
-            self._feed(MembersChanged(ListKind.FULL, tuple(EngineEntry(name) for name in listed)))
+            self._listed(listed)
 
         self.at(FULL_FROM + time, tell)
 
+    def _listed(self, names: Iterable[str]) -> None:
+        self._feed(MembersChanged(ListKind.FULL, tuple(EngineEntry(name) for name in names)))
+
     def run(self, arrivals: Iterable[Arrival]) -> list[Record]:
         """Play the traffic to its end; return a record for each request."""
         classes = {spec.name: k for k, spec in enumerate(self.settings.classes)}
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -14,7 +14,7 @@
 
 def tables(thing: object, path: str = "gateway", depth: int = 0, seen: set[int] | None = None,
            ) -> Iterator[tuple[str, int]]:
-    """Yield the path and length of every sized attribute reachable from a thing, three levels deep."""
+    """Yield the path and length of every sized attribute reachable from a thing, four attributes deep."""
     seen = set() if seen is None else seen
     if id(thing) in seen or depth > 3:
         return
