Send nothing further after a DELETE in vain, whatever was heard of the query before

At fault: HttpCall.drop let 'heard' stand for 'taken back' where the DELETE met its limit. Change: a DELETE in vain means that the query may run yet, and the module then answers at once.

--- a/cairnhoist/interface.py
+++ b/cairnhoist/interface.py
@@ -246,7 +246,7 @@
     work_ms: float = 0.0
     memory_mb: float = 0.0
     report: tuple[float, ...] = ()
-    loose: bool = False  # it could not be taken back, and may begin yet
+    loose: bool = False  # it could not be taken back, and may begin or run yet
 
 
 @dataclass(slots=True, frozen=True)
--- a/fordstair/__main__.py
+++ b/fordstair/__main__.py
@@ -6,14 +6,17 @@
 import logging
 import os
 import sys
+from typing import TYPE_CHECKING
 
 import trio
 
 from fordstair.config import Config, ConfigError, load
 from fordstair.core.events import PlainFormatter
-from fordstair.net.odata_model import Operator
 from fordstair.program import Program
 
+if TYPE_CHECKING:
+    from fordstair.net.odata_model import Operator
+
 
 def told_by(path: str | None) -> tuple[Config, Operator | None]:
     """Read what the platform tells, and the operator's file if there is one."""
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -92,7 +92,8 @@
     async def drop(self) -> bool:
         """Give the query up at the engine, if it may have got there; never takes long.
 
-        False where it may begin yet: it left whole, but nothing shows that the engine ever read it.
+        False where it may begin yet, or still run: it left whole, but nothing shows that the engine has read
+        it, or that the engine has taken it back.
         """
 
     async def hurry(self, urgency: int) -> None:
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -132,11 +132,13 @@
                     with contextlib.suppress(Broken), self.deadlines.limit(self.deadlines.clock() + NEWS_MS):
                         await connection.rest()
             if limit.cancelled_caught:
+                # Nobody has taken the DELETE: behind a cut the query runs on until it goes unasked for too
+                # long, however surely it was heard of before.
                 self.pool.counters.add("engine.drops_in_vain")
+                return False
             # A machine that said nothing for longer than an engine may take was cut off, and reads the POST
             # after the DELETE perhaps.
-            prompt = not limit.cancelled_caught and self.deadlines.clock() < self.sent_ms + PROMPT_MS
-            return self.heard or prompt
+            return self.heard or self.deadlines.clock() < self.sent_ms + PROMPT_MS
         finally:
             if connection is not None:
                 self.pool.release(connection, self.address)
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -156,6 +156,32 @@
     play(scene)
 
 
+@pytest.mark.parametrize("first", [(202, {}, b""), None])
+def test_what_may_still_run_behind_a_cut_is_followed_by_no_other_attempt(first: Answered | None) -> None:
+    """The engine has the query, or reset the POST's connection; then nothing of the machine is heard."""
+    posts: list[str] = []
+
+    async def cut_off(one: RestEngine, method: str, path: str, headers: dict[str, str],
+                      body: bytes) -> Answered | bytes | None:
+        if method == "POST":
+            posts.append(one.address)
+            if len(posts) == 1:
+                return first
+        elif one.address == posts[0]:
+            await trio.sleep_forever()
+        return await at_once(one, method, path, headers, body)
+
+    async def scene() -> None:
+        async with (engine(cut_off) as one, engine(cut_off) as two,
+                    program(config(one.address, two.address)) as node):
+            client = await node.client()
+            error, _ = await client.answer(await client.ask(limit="5000"))
+            assert error[0] == "Overloaded" and len(posts) == 1  # refused at once: a repeat does no harm
+            assert "DELETE" in one.calls | two.calls
+
+    play(scene)
+
+
 class Nowhere:
     """A transport for engines that are only listed."""
 
