Know which coordinators are alive: SWIM with Lifeguard, off unless [fleet] is set

Need: replication and fleet-wide budgets must know who is there; today each coordinator knows itself alone. Nothing of it is loaded on the platform.

--- a/fordstair/cli/app.py
+++ b/fordstair/cli/app.py
@@ -222,6 +222,12 @@
     look("requests", socket, file, as_json)
 
 
+@app.command()
+def members(socket: Socket = "", file: FileOption = Path(DEFAULT_FILE), as_json: Json = False) -> None:
+    """List the coordinators of the fleet, as this one believes them to be."""
+    look("members", socket, file, as_json)
+
+
 @app.command()
 def counters(socket: Socket = "", file: FileOption = Path(DEFAULT_FILE), as_json: Json = False) -> None:
     """Print the program's counters."""
--- a/fordstair/console/app.py
+++ b/fordstair/console/app.py
@@ -19,6 +19,7 @@
     CLASSES,
     ENGINES,
     LOG,
+    MEMBERS,
     REFUSALS,
     REQUESTS,
     TEAMS,
@@ -30,7 +31,7 @@
 
 AGAIN_S = 0.5  # between two tries to reach the program
 REFRESH_S = 0.25  # ages grow, and a lost feed is noticed, without a frame
-LOWER = (REQUESTS, REFUSALS, ADJUSTMENTS, LOG)
+LOWER = (REQUESTS, REFUSALS, ADJUSTMENTS, LOG, MEMBERS)
 
 HELP = """\
 What is shown
@@ -43,7 +44,7 @@
   Classes, Teams   open requests, attempts out, threads they hold, the oldest's age.
 
 Keys
-  1 2 3 4   lower pane: waiting requests, refusals, adjustments in force, log
+  1 to 5    lower pane: waiting requests, refusals, adjustments in force, log, fleet
   a  b      set the marked engine aside (it gets nothing new) / bring it back
   l         limit the threads of the marked class
   d         drain: answer what is open, then end the program
--- a/fordstair/console/panes.py
+++ b/fordstair/console/panes.py
@@ -94,6 +94,16 @@
             for view in views]
 
 
+def _members(picture: Picture, now_ms: float, stale: bool) -> Rows:
+    return [(view.name, (
+        f"{view.name} (here)" if view.own else view.name, f"{view.state}?" if stale else view.state,
+        age(view.since_ms, now_ms), str(view.incarnation),
+        f"{view.accusers} for {span(view.until_ms - now_ms)}" if view.until_ms else "-",
+        view.by if not view.own else "-", view.address,
+        f"health {view.health}" if view.own else "only through others" if view.cut_off else ""))
+        for view in picture.rows("members")]
+
+
 def _notes(picture: Picture, now_ms: float, stale: bool) -> Rows:
     return [(str(note.number), (age(note.at_ms, now_ms), note.level, note.text))
             for note in reversed(picture.notes)]
@@ -116,8 +126,11 @@
 REFUSALS = Pane("refusals", "Refusals", ("class", "reason", "count"), _refusals, _numbers("count"))
 ADJUSTMENTS = Pane("adjustments", "In force", ("what", "is", "by", "ago", "lasts"), _adjustments,
                    _numbers("ago"))
+MEMBERS = Pane("members", "Fleet", (
+    "member", "state", "for", "incarnation", "accusers", "by", "address", "note"), _members,
+    _numbers("for", "incarnation"))
 LOG = Pane("log", "Log", ("ago", "level", "event"), _notes, _numbers("ago"))
-PANES = (ENGINES, CLASSES, TEAMS, REQUESTS, REFUSALS, ADJUSTMENTS, LOG)
+PANES = (ENGINES, CLASSES, TEAMS, REQUESTS, REFUSALS, ADJUSTMENTS, MEMBERS, LOG)
 
 
 def headline(picture: Picture, now_ms: float, stale: str) -> str:
--- a/fordstair/feed/observe.py
+++ b/fordstair/feed/observe.py
@@ -5,7 +5,7 @@
 from collections import deque
 from copy import copy
 from itertools import islice
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -19,6 +19,7 @@
     AdjustmentView,
     ClassView,
     EngineView,
+    MemberView,
     NoteView,
     Picture,
     RefusalView,
@@ -29,6 +30,9 @@
     renewed,
 )
 
+if TYPE_CHECKING:
+    from fordstair.membership.transport import Membership
+
 REQUESTS_MOST = 50  # the oldest; the counts by class and team hold all
 NOTES_MOST = 100
 SILENT_MS = 1_000.0  # an engine that worked within that time is not called silent
@@ -37,7 +41,9 @@
 class Observer:
     """Keeps the latest picture, and makes the next one from it."""
 
-    def __init__(self, name: str, coordinator: Coordinator, ledger: Ledger, started_ms: float) -> None:
+    def __init__(self, name: str, coordinator: Coordinator, ledger: Ledger, started_ms: float,
+                 membership: Membership | None = None) -> None:
+        self.membership = membership
         self.name, self.coordinator, self.ledger = name, coordinator, ledger
         self.started_ms, self.watchers = started_ms, 0
         self.picture = Picture()
@@ -49,7 +55,7 @@
         rows: dict[str, dict[str, Any]] = {
             "engines": self._engines(now), "classes": self._classes(live), "teams": self._teams(live),
             "requests": self._requests(live), "refusals": self._refusals(),
-            "adjustments": self._adjustments()}
+            "adjustments": self._adjustments(), "members": self._members()}
         tables = self.picture.tables
         for name, table in rows.items():
             kept = renewed(tables[name], table)
@@ -126,6 +132,22 @@
         return {f"{lane}|{reason}": RefusalView(lane, reason, count)
                 for (lane, reason), count in self.coordinator.refusals.items()}
 
+    def _members(self) -> dict[str, MemberView]:
+        if self.membership is None or (swim := self.membership.swim) is None:
+            return {}
+        from fordstair.membership.messages import STATES
+
+        me = swim.update
+        views = {me.name: MemberView(me.name, me.address, "mute" if swim.mute else STATES[me.state],
+                                     me.incarnation, self.started_ms, own=True, health=swim.awareness.score)}
+        for each in swim.members.values():
+            doubt = each.suspicion
+            views[each.name] = MemberView(
+                each.name, each.address, STATES[each.state], each.incarnation, each.since, each.by,
+                len(doubt.accusers) if doubt is not None else 0,
+                doubt.until if doubt is not None else 0.0, each.cut_off)
+        return views
+
     def _adjustments(self) -> dict[str, AdjustmentView]:
         return {target: AdjustmentView(target, each.what, each.who, each.at_ms, each.revision)
                 for target, each in self.ledger.in_force.items()}
--- a/fordstair/feed/picture.py
+++ b/fordstair/feed/picture.py
@@ -109,6 +109,22 @@
     revision: int
 
 
+class MemberView(Struct, frozen=True):
+    """One coordinator of the fleet as this one believes it to be; itself among them."""
+
+    name: str
+    address: str
+    state: str  # alive, suspect, dead, left; of itself also "mute": it hears others and is not heard
+    incarnation: int
+    since_ms: float = 0.0  # since when it is in this state
+    by: str = ""  # who said so
+    accusers: int = 0  # of a suspect
+    until_ms: float = 0.0  # when a suspect counts as dead; 0: no suspect
+    cut_off: bool = False  # reached through others alone
+    own: bool = False
+    health: int = 0  # of itself: 0 is healthy, timeouts stretch by one more than this
+
+
 class NoteView(Struct, frozen=True):
     """A line of the log."""
 
@@ -120,14 +136,14 @@
 
 TABLES: dict[str, type[Struct]] = {
     "engines": EngineView, "classes": ClassView, "teams": TeamView, "requests": RequestView,
-    "refusals": RefusalView, "adjustments": AdjustmentView}
+    "refusals": RefusalView, "adjustments": AdjustmentView, "members": MemberView}
 
 
 # The order in which a table is shown: a persistent map has none of its own.
 _ORDER: dict[str, Callable[[Any], Any]] = {
     "engines": lambda row: row.id, "classes": lambda row: row.place, "teams": lambda row: row.place,
     "requests": lambda row: row.id, "refusals": lambda row: (-row.count, row.lane, row.reason),
-    "adjustments": lambda row: row.revision}
+    "adjustments": lambda row: row.revision, "members": lambda row: (not row.own, row.name)}
 
 
 class Picture(Struct, frozen=True):
@@ -162,6 +178,7 @@
     requests: dict[str, RequestView] = {}
     refusals: dict[str, RefusalView] = {}
     adjustments: dict[str, AdjustmentView] = {}
+    members: dict[str, MemberView] = {}
     gone: dict[str, list[str]] = {}  # keys that a table holds no more
     notes: list[NoteView] = []
 
--- /dev/null
+++ b/fordstair/lab/gossip.py
@@ -0,0 +1,214 @@
+"""A fleet's members in virtual time: the real state machine on a network that loses, delays, cuts and stalls.
+
+Deterministic by seed. ``Heartbeats`` is what SWIM is measured against: everybody tells everybody.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from random import Random
+from typing import Protocol
+
+from fordstair.membership.messages import ALIVE, DEAD, Update
+from fordstair.membership.swim import Changed, Fleet, Swim
+
+START = 1_000_000.0  # the day starts there, so that no time is 0
+
+
+class Node(Protocol):
+    """A member as the network drives it."""
+
+    counts: Counter[str]
+
+    @property
+    def next_due(self) -> float | None:
+        """When ``tick`` is wanted next."""
+
+    def start(self, now: float) -> None:
+        """Begin."""
+
+    def receive(self, now: float, datagram: bytes, source: str) -> None:
+        """Take a datagram in."""
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+
+    def outgoing(self) -> list[tuple[str, bytes]]:
+        """Take the datagrams to send."""
+
+    def changes(self) -> list[Changed]:
+        """Take what has changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """One member's word on another, at a time."""
+
+    at: float
+    observer: str
+    change: Changed
+
+
+class Network:
+    """Members by name, which is their address as well; all times in milliseconds from the day's start."""
+
+    def __init__(self, seed: int, *, loss: float = 0.0, delay_ms: tuple[float, float] = (0.2, 2.0)) -> None:
+        self.random, self.loss, self.delay_ms = Random(seed), loss, delay_ms
+        self.now = 0.0
+        self.nodes: dict[str, Node] = {}
+        self.seen: list[Seen] = []
+        self.cut: Callable[[str, str], bool] = lambda source, to: False
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self._wakes: dict[str, float] = {}
+        self._stalled: dict[str, list[tuple[bytes, str]]] = {}  # datagrams that wait for a paused member
+
+    def at(self, time: float, do: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._number += 1
+        heapq.heappush(self._heap, (time, self._number, do))
+
+    def add(self, name: str, node: Node) -> None:
+        """Start a member, or start one of this name anew."""
+        self.nodes[name] = node
+        self._wakes.pop(name, None)
+        self._stalled.pop(name, None)
+        node.start(START + self.now)
+        self._carry_out(name)
+
+    def kill(self, name: str) -> None:
+        """End a member without a word."""
+        self.nodes.pop(name, None)
+        self._stalled.pop(name, None)
+
+    def pause(self, name: str, ms: float) -> None:
+        """Stop a member as SIGSTOP does: what reaches it waits, and its timers fire late."""
+        if name in self.nodes and name not in self._stalled:
+            self._stalled[name] = []
+            self.at(self.now + ms, lambda: self._resume(name))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, do = heapq.heappop(self._heap)
+            do()
+        self.now = until
+
+    def views(self) -> dict[str, dict[str, int]]:
+        """Return each running SWIM member's state of each other member."""
+        return {name: {other: member.state for other, member in node.members.items()}
+                for name, node in self.nodes.items() if isinstance(node, Swim)}
+
+    def _resume(self, name: str) -> None:
+        for datagram, source in self._stalled.pop(name, []):
+            self._deliver(name, datagram, source)
+        if (node := self.nodes.get(name)) is not None:
+            self._wakes.pop(name, None)
+            node.tick(START + self.now)
+            self._carry_out(name)
+
+    def _wake(self, name: str, at: float) -> None:
+        if self._wakes.get(name) != at or name in self._stalled:
+            return
+        del self._wakes[name]
+        self.nodes[name].tick(START + self.now)
+        self._carry_out(name)
+
+    def _deliver(self, name: str, datagram: bytes, source: str) -> None:
+        if name in self._stalled:
+            if len(self._stalled[name]) < 500:  # a socket's buffer is bounded too
+                self._stalled[name].append((datagram, source))
+        elif (node := self.nodes.get(name)) is not None:
+            node.receive(START + self.now, datagram, source)
+            self._carry_out(name)
+
+    def _carry_out(self, name: str) -> None:
+        node = self.nodes[name]
+        for to, datagram in node.outgoing():
+            if self.random.random() < self.loss or self.cut(name, to):
+                continue
+            self.at(self.now + self.random.uniform(*self.delay_ms),
+                    lambda to=to, datagram=datagram: self._deliver(to, datagram, name))  # type: ignore[misc]
+        self.seen += [Seen(self.now, name, change) for change in node.changes()]
+        due = node.next_due
+        if due is not None and self._wakes.get(name) != due - START:
+            at = self._wakes[name] = max(self.now, due - START)
+            self.at(at, lambda: self._wake(name, at) if name in self.nodes else None)
+
+
+class Heartbeats:
+    """All to all: a message to everybody each period; who is silent for ``missed`` periods is dead."""
+
+    def __init__(self, name: str, others: Iterable[str], period_ms: float, missed: int, seed: int) -> None:
+        self.name, self.period_ms, self.missed = name, period_ms, missed
+        self.counts: Counter[str] = Counter()
+        self._random, self._others, self._dead = Random(seed), dict.fromkeys(others, 0.0), set[str]()
+        self._next = 0.0
+        self._out: list[tuple[str, bytes]] = []
+        self._changes: list[Changed] = []
+        self._datagram = name.encode()
+
+    @property
+    def next_due(self) -> float | None:
+        """When the next message is due; silence is looked at ten times a period."""
+        return self._look
+
+    def start(self, now: float) -> None:
+        """Hold everybody for alive."""
+        self._others = dict.fromkeys(self._others, now)
+        self._next = now + self._random.random() * self.period_ms
+        self._look = now
+
+    def receive(self, now: float, datagram: bytes, source: str) -> None:
+        """Whoever is heard is alive."""
+        self._others[source] = now
+        if source in self._dead:
+            self._dead.discard(source)
+            self._change(source, DEAD, ALIVE, now)
+
+    def tick(self, now: float) -> None:
+        """Send what is due, and look at who is silent."""
+        if now >= self._next:
+            self._next = now + self.period_ms * self._random.uniform(0.9, 1.1)
+            self._out += [(other, self._datagram) for other in self._others]
+            self.counts["sent"] += len(self._others)
+            self.counts["sent_bytes"] += len(self._others) * (len(self._datagram) + 16)
+        for other, heard in self._others.items():
+            if other not in self._dead and now - heard > self.missed * self.period_ms:
+                self._dead.add(other)
+                self._change(other, ALIVE, DEAD, now)
+        self._look = now + self.period_ms / 10.0
+
+    def _change(self, other: str, before: int, state: int, now: float) -> None:
+        self._changes.append(Changed(other, other, before, state, 0, self.name, now))
+
+    def outgoing(self) -> list[tuple[str, bytes]]:
+        """Take the datagrams to send."""
+        out, self._out = self._out, []
+        return out
+
+    def changes(self) -> list[Changed]:
+        """Take what has changed."""
+        changes, self._changes = self._changes, []
+        return changes
+
+
+def names_of(count: int) -> list[str]:
+    """Return the names of a fleet's members."""
+    return [f"m-{number:04d}:1" for number in range(count)]
+
+
+def swim_fleet(network: Network, count: int, fleet: Fleet, seed: int, *,
+               incarnations: Mapping[str, int] | None = None) -> list[str]:
+    """Start that many SWIM members who know each other already; return their addresses."""
+    addresses = names_of(count)
+    known = [Update(address[:-2], address, 1, ALIVE, address[:-2]) for address in addresses]
+    for number, address in enumerate(addresses):
+        told = replace(fleet, name=address[:-2], address=address, seeds=tuple(addresses[:2]))
+        node = Swim(told, (incarnations or {}).get(address, 1), seed * 10_007 + number)
+        node.know(START, [update for update in known if update.address != address])
+        network.add(address, node)
+    return addresses
--- a/fordstair/net/door.py
+++ b/fordstair/net/door.py
@@ -15,7 +15,7 @@
 import struct
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
@@ -37,7 +37,10 @@
 from fordstair.core.events import Events
 from fordstair.feed.observe import Observer
 from fordstair.feed.pacing import CUT_MS, Pace
-from fordstair.feed.picture import NoteView, Picture, encode, step
+from fordstair.feed.picture import TABLES, NoteView, Picture, encode, step
+
+if TYPE_CHECKING:
+    from fordstair.membership.transport import Membership
 
 log = Events(__name__)
 
@@ -73,11 +76,13 @@
     """Answers commands, judges adjustments, and feeds those that follow."""
 
     def __init__(self, name: str, coordinator: Coordinator, drain: Callable[[], None],
-                 watchers_most: int = 8) -> None:
+                 watchers_most: int = 8, membership: Membership | None = None) -> None:
         self.coordinator, self.deadlines, self.drain = coordinator, coordinator.deadlines, drain
         self.watchers_most, self.connections = watchers_most, 0
         self.ledger = Ledger()
-        self.observer = Observer(name, coordinator, self.ledger, self.deadlines.clock())
+        self.observer = Observer(name, coordinator, self.ledger, self.deadlines.clock(), membership)
+        if membership is not None:
+            membership.listeners.append(lambda _: self.change())
         self.pace, self._changed, self._news = Pace(), True, trio.Event()
         self._frame: tuple[Picture, Picture, bytes] | None = None  # the last one encoded
         self._last_note = 0
@@ -241,7 +246,7 @@
         command = told["command"]
         if command == "counters":
             return {"counters": self.coordinator.counters.snapshot()}
-        if command in ("status", "engines", "requests", "classes", "teams", "refusals", "adjustments"):
+        if command == "status" or command in TABLES:
             picture = self.observer.look(self.deadlines.clock())
             if command == "status":
                 return {"at_ms": picture.at_ms, "status": msgspec.to_builtins(picture.site)}
--- a/fordstair/net/odata_model.py
+++ b/fordstair/net/odata_model.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
 from xml.sax.saxutils import quoteattr
 
@@ -14,6 +14,9 @@
 from odata_query.grammar import ODataLexer, ODataParser
 from odata_query.sql.base import AstToSqlVisitor
 
+if TYPE_CHECKING:
+    from fordstair.membership.swim import Fleet
+
 _KEY = re.compile(r"(?P<set>\w+)\((?:(?P<name>\w+)=)?'(?P<key>(?:[^']|'')*)'\)\Z")
 _OPTIONS = {"$select", "$filter", "$orderby", "$top", "$skip", "$count", "$skiptoken", "$format"}
 
@@ -62,6 +65,8 @@
     identity: Mapping[str, Any] = field(default_factory=dict)
     console: str = ""  # the path of its socket; empty: none
     watchers: int = 8  # consoles that may follow at a time
+    fleet: Fleet | None = None  # membership among coordinators; no address: the one that is bound
+    fleet_listen: tuple[str, int] = ("127.0.0.1", 0)
 
 
 class _Where(AstToSqlVisitor):
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -23,6 +23,7 @@
 from fordstair.net.rest_engine import RestTransport
 
 if TYPE_CHECKING:  # what only an operator's file turns on is not loaded on the platform
+    from fordstair.membership.transport import Membership
     from fordstair.net.door import Door
     from fordstair.net.identity import Identity
     from fordstair.net.odata_front import ODataFront
@@ -48,6 +49,7 @@
         self.identity: Identity | None = None
         self.odata: ODataFront | None = None
         self.door: Door | None = None
+        self.membership: Membership | None = None
         if operator is not None and operator.identity:
             from fordstair.net.identity import Identity, read_files
 
@@ -76,10 +78,17 @@
 
             team_of = self.identity.team_of if self.identity else lambda _: None
             self.odata = ODataFront(self.coordinator, operator, team_of)
+        if operator is not None and operator.fleet is not None:
+            from fordstair.membership.transport import Membership
+
+            fleet = replace(operator.fleet, name=operator.fleet.name or config.name)
+            self.membership = Membership(fleet, operator.fleet_listen, config.seed)
+            self.counters.include("fleet", lambda: self.membership.counts if self.membership else {})
         if operator is not None and operator.console:
             from fordstair.net.door import Door
 
-            self.door = Door(config.name, self.coordinator, self.stop.set, operator.watchers)
+            self.door = Door(config.name, self.coordinator, self.stop.set, operator.watchers,
+                             self.membership)
         self.bound()
         self.command_channel = CommandChannel(
             config.channel, config.cursor, self.members, self.deadlines, self.counters)
@@ -107,6 +116,8 @@
             nursery.start_soon(self.deadlines.run)
             await nursery.start(self.coordinator.run)
             nursery.start_soon(self.command_channel.run)
+            if self.membership is not None:
+                await self.join(nursery, self.membership)
             if self.operator is not None and self.door is not None:
                 await nursery.start(self.door.run, self.operator.console)
             accepting = [trio.CancelScope()]
@@ -118,9 +129,18 @@
                 self.identity.watch()
             await self.stop.wait()
             await self.drain(accepting)
+            if self.membership is not None:
+                await self.membership.leave()
             nursery.cancel_scope.cancel()
         log.info("counters", **self.counters.snapshot())
 
+    async def join(self, nursery: trio.Nursery, membership: Membership) -> None:
+        """Take part in the fleet from now on."""
+        try:
+            await nursery.start(membership.run)
+        except OSError as error:
+            raise ConfigError(f"fleet.listen: {error}") from None
+
     async def serve_odata(self, stream: trio.SocketStream) -> None:
         """Serve an OData client, after its handshake where there are identities."""
         assert self.odata is not None
--- a/fordstair/settings/faults.py
+++ b/fordstair/settings/faults.py
@@ -140,10 +140,26 @@
     for identity, team in (file.identity.teams if file.identity is not None else {}).items():
         if teams and team not in teams:
             yield Fault(f"identity.teams.{identity}", f"no team {team!r}")
+    yield from _fleet(file)
     if file.console is not None and not file.console.socket.startswith("/"):
         yield Fault("console.socket", "a path from the root is wanted")
 
 
+def _fleet(file: File) -> Iterator[Fault]:
+    if (fleet := file.fleet) is None:
+        return
+    if 2.0 * fleet.timeout_ms > fleet.probe_ms:
+        yield Fault("fleet.timeout_ms", "is over half of probe_ms: others could not answer within the period")
+    if fleet.advertise is not None and fleet.advertise.endswith(":0"):
+        yield Fault("fleet.advertise", "port 0 cannot be reached")
+    if fleet.advertise is None and fleet.listen.rpartition(":")[0] in ("0.0.0.0", "[::]"):
+        yield Fault("fleet.advertise", "is missing: the others cannot reach the address in fleet.listen")
+    for index, seed in enumerate(fleet.seeds):
+        if seed.endswith(":0"):
+            yield Fault(f"fleet.seeds.{index}", "port 0 cannot be reached")
+    yield from _twice("fleet", "seeds", list(fleet.seeds), flat=True)
+
+
 def _sets(file: File) -> Iterator[Fault]:
     effects = {each.name: each.effect for each in file.classes}
     for index, each in enumerate(file.sets):
@@ -163,7 +179,12 @@
     listening += [("odata.listen", file.odata.listen)] if file.odata is not None else []
     engines = [(f"engine.{index}.address", each.address)
                for index, each in enumerate(file.engines) if each.address is not None]
-    for path, address in (*listening, *engines):
+    fleet = [] if file.fleet is None else [
+        ("fleet.listen", file.fleet.listen), *((f"fleet.seeds.{index}", seed)
+                                               for index, seed in enumerate(file.fleet.seeds))]
+    if file.fleet is not None and file.fleet.advertise is not None:
+        fleet.append(("fleet.advertise", file.fleet.advertise))
+    for path, address in (*listening, *engines, *fleet):
         if int(address.rpartition(":")[2]) > 65_535:
             yield Fault(path, f"port {address.rpartition(':')[2]} is over 65535")
     for path, address in engines:
--- a/fordstair/settings/schema.py
+++ b/fordstair/settings/schema.py
@@ -151,6 +151,24 @@
     engines: list[str] = []
 
 
+class FleetTable(Table, frozen=True, kw_only=True):
+    """Membership among coordinators; off without this table."""
+
+    cluster: Annotated[str, Meta(pattern=r"\A[A-Za-z][A-Za-z0-9._-]{0,63}\Z")]  # others' members are refused
+    listen: Address  # UDP
+    advertise: Address | None = None  # where the others reach this member; default: as ``listen``
+    member: Name | None = None  # default: the site's name; no two members may share one
+    seeds: Annotated[list[Address], Meta(max_length=64)] = []  # members to join through
+    probe_ms: Annotated[float, Meta(ge=20.0, le=60_000.0)] = 1_000.0  # one member is probed in each
+    timeout_ms: Annotated[float, Meta(ge=5.0, le=30_000.0)] = 300.0  # then others are asked to probe it
+    indirect: Annotated[int, Meta(ge=0, le=16)] = 3  # how many others
+    suspicion: Annotated[float, Meta(ge=1.0, le=100.0)] = 5.0  # periods at least, times log10 of the members
+    suspicion_most: Annotated[float, Meta(ge=1.0, le=20.0)] = 6.0  # times that, where nobody confirms it
+    sync_ms: Annotated[float, Meta(ge=100.0, le=600_000.0)] = 10_000.0  # between full exchanges
+    forget_seconds: Annotated[float, Meta(ge=10.0, le=604_800.0)] = 3_600.0  # dead members are kept so long
+    members_most: Annotated[int, Meta(ge=2, le=5_000)] = 2_000
+
+
 class ConsoleTable(Table, frozen=True, kw_only=True):
     """The console's door."""
 
@@ -182,6 +200,7 @@
     odata: ODataTable | None = None
     sets: Annotated[list[SetTable], Meta(max_length=1024)] = []
     identity: IdentityTable | None = None
+    fleet: FleetTable | None = None
     console: ConsoleTable | None = None
     log: LogTable = LogTable()
 
--- a/fordstair/settings/site.py
+++ b/fordstair/settings/site.py
@@ -5,6 +5,7 @@
 import secrets
 import tomllib
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cairnhoist.interface import (
     Effect,
@@ -20,6 +21,9 @@
 from fordstair.settings.faults import Fault, Faulty, read
 from fordstair.settings.schema import ClassTable, EngineTable, File, SetTable
 
+if TYPE_CHECKING:
+    from fordstair.membership.swim import Fleet
+
 LARGEST_FILE = 1024 * 1024
 OPERATOR_LISTEN = "127.0.0.1:0"
 
@@ -109,7 +113,22 @@
             "bundle": file.identity.bundle, "trust_domain": file.identity.trust_domain,
             "teams": dict(file.identity.teams), "engines": list(file.identity.engines)},
         console=file.console.socket if file.console is not None else "",
-        watchers=file.console.watchers if file.console is not None else 0)
+        watchers=file.console.watchers if file.console is not None else 0,
+        fleet=_fleet(file),
+        fleet_listen=address(file.fleet.listen, "fleet.listen") if file.fleet is not None else ("", 0))
+
+
+def _fleet(file: File) -> Fleet | None:
+    if (told := file.fleet) is None:
+        return None
+    from fordstair.membership.swim import Fleet
+
+    # Port 0 is known once it is bound; a member's name is the site's where the file gives none.
+    advertised = told.advertise or ("" if told.listen.endswith(":0") else told.listen)
+    name = told.member or (file.site.name if file.site is not None else "")
+    return Fleet(told.cluster, name, advertised, tuple(told.seeds), told.probe_ms, told.timeout_ms,
+                 told.indirect, told.suspicion, told.suspicion_most, told.sync_ms,
+                 told.forget_seconds * 1000.0, told.members_most)
 
 
 def _budgets(file: File) -> Budgets | None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -202,8 +202,11 @@
 
 
 @asynccontextmanager
-async def program(told: dict[str, Any], *arguments: str) -> AsyncIterator[Program]:
-    """Run ``python -m fordstair`` on a configuration."""
+async def program(told: dict[str, Any], *arguments: str, fronts: int | None = None) -> AsyncIterator[Program]:
+    """Run ``python -m fordstair`` on a configuration, until so many fronts listen.
+
+    By default these are the platform's, and OData's where there is an operator's file.
+    """
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
         path.write_text(ujson.dumps(told))
@@ -214,7 +217,7 @@
                 stderr=subprocess.PIPE, capture_stderr=False, task_status=task_status))
             one, ready = Program(process, []), trio.Event()
             one.path = path
-            nursery.start_soon(_follow, one, ready, 1 + len(arguments) // 2)
+            nursery.start_soon(_follow, one, ready, fronts or 1 + len(arguments) // 2)
             with trio.fail_after(20.0):
                 await ready.wait()
             yield one
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,339 @@
+"""The membership state machine in virtual time and under arbitrary news, and its messages."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fordstair.lab.gossip import START, Network, swim_fleet
+from fordstair.membership.messages import (
+    ALIVE,
+    DEAD,
+    LARGEST,
+    LEFT,
+    SUSPECT,
+    Ack,
+    Malformed,
+    Ping,
+    Update,
+    View,
+    decode,
+    encode,
+)
+from fordstair.membership.suspicion import Suspicion
+from fordstair.membership.swim import Fleet, Swim
+
+FLEET = Fleet("gardens", "x", "x:1")
+FIXED = settings(max_examples=60, deadline=None, derandomize=True, database=None,
+                 suppress_health_check=[HealthCheck.too_slow])
+
+
+def fleet(count: int, seed: int = 1, *, loss: float = 0.0, told: Fleet = FLEET) -> tuple[Network, list[str]]:
+    network = Network(seed, loss=loss)
+    return network, swim_fleet(network, count, told, seed)
+
+
+def deaths(network: Network, since: float = 0.0) -> list[tuple[str, str]]:
+    return [(seen.observer, seen.change.name) for seen in network.seen
+            if seen.change.state == DEAD and seen.at >= since]
+
+
+def agree(network: Network) -> bool:
+    """Whether all running members hold all running members for alive, at the same incarnations."""
+    swims = {name: node for name, node in network.nodes.items() if isinstance(node, Swim)}
+    own = {name.split(":")[0]: node.incarnation for name, node in swims.items()}
+    return all({member.name: member.incarnation for member in node.members.values() if member.state == ALIVE}
+               | {node.fleet.name: node.incarnation} == own for node in swims.values())
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.1])
+def test_five_members_hold_no_healthy_one_for_dead_in_an_hour(loss: float) -> None:
+    network, _ = fleet(5, loss=loss)
+    network.run(3_600_000.0)
+    assert not deaths(network)
+    assert sum(node.counts["probes"] for node in network.nodes.values()) > 5 * 2_000
+
+
+@pytest.mark.parametrize("loss", [0.3, 0.5])
+def test_heavy_loss_may_cost_a_member_its_name_but_never_for_good(loss: float) -> None:
+    network, _ = fleet(5, loss=loss)
+    network.run(600_000.0)
+    network.loss = 0.0
+    network.run(network.now + 60_000.0)
+    assert agree(network)
+
+
+@pytest.mark.parametrize("count", [2, 5, 30])
+def test_a_killed_member_is_dead_for_all_and_nobody_else_is(count: int) -> None:
+    network, addresses = fleet(count)
+    network.run(20_000.0)
+    network.kill(addresses[-1])
+    network.run(80_000.0)
+    assert sorted(deaths(network)) == sorted((each, addresses[-1][:-2]) for each in addresses[:-1])
+
+
+@pytest.mark.parametrize(("pause_ms", "dies"), [(2_000.0, False), (10_000.0, False), (60_000.0, True)])
+def test_a_paused_member_dies_only_after_its_suspicion_and_refutes_on_return(
+        pause_ms: float, dies: bool) -> None:
+    network, addresses = fleet(5, told=replace(FLEET, suspicion=15.0))
+    network.run(20_000.0)
+    network.pause(addresses[2], pause_ms)
+    network.run(network.now + pause_ms + 1.0)
+    dead = deaths(network)
+    assert {name for _, name in dead} == ({addresses[2][:-2]} if dies else set())
+    back = network.now
+    network.run(back + 25_000.0)
+    assert agree(network)
+    assert not deaths(network, back)  # what it had missed made it accuse nobody
+    paused = network.nodes[addresses[2]]
+    assert paused.counts["overslept"] >= 1 and (paused.counts["refutations"] >= 1 or pause_ms < 5_000.0)
+
+
+def test_a_member_that_one_other_does_not_hear_stays_alive_and_the_cut_is_found() -> None:
+    network, addresses = fleet(5)
+    a, b = addresses[:2]
+    network.run(10_000.0)
+    network.cut = lambda source, to: (source, to) == (a, b)
+    network.run(network.now + 120_000.0)
+    assert not deaths(network)
+    for one, other in ((a, b), (b, a)):  # a ping or its answer is lost, whoever asks
+        node = network.nodes[one]
+        assert isinstance(node, Swim) and node.members[other[:-2]].cut_off
+        assert sum(each.cut_off for each in node.members.values()) == 1
+    network.cut = lambda source, to: False
+    network.run(network.now + 30_000.0)
+    assert agree(network)
+    node = network.nodes[a]
+    assert isinstance(node, Swim) and not node.members[b[:-2]].cut_off
+
+
+def test_a_member_that_nobody_hears_is_found_and_accuses_nobody() -> None:
+    network, addresses = fleet(5)
+    mute = addresses[3]
+    network.run(10_000.0)
+    network.cut = lambda source, to: source == mute
+    network.run(network.now + 15_000.0)
+    node = network.nodes[mute]
+    assert isinstance(node, Swim) and node.mute
+    network.run(network.now + 30_000.0)
+    assert {name for observer, name in deaths(network) if observer != mute} == {mute[:-2]}
+    network.cut = lambda source, to: False
+    network.run(network.now + 40_000.0)
+    assert agree(network) and not node.mute
+
+
+def test_the_halves_of_a_partition_become_one_view_again() -> None:
+    network, addresses = fleet(6)
+    network.run(10_000.0)
+    one = set(addresses[:3])
+    network.cut = lambda source, to: (source in one) != (to in one)
+    network.run(network.now + 60_000.0)
+    for address in addresses:
+        node = network.nodes[address]
+        assert isinstance(node, Swim)
+        other = {each[:-2] for each in addresses if (each in one) != (address in one)}
+        assert {each.name for each in node.members.values() if each.state == DEAD} == other
+    network.cut = lambda source, to: False
+    network.run(network.now + 2.0 * FLEET.sync_ms + 5.0 * FLEET.probe_ms)  # the bound that is told
+    assert agree(network)
+
+
+def test_a_member_killed_and_started_anew_is_known_by_its_greater_incarnation() -> None:
+    network, addresses = fleet(5)
+    network.run(10_000.0)
+    network.kill(addresses[4])
+    network.run(11_000.0)
+    network.add(addresses[4], Swim(replace(FLEET, name=addresses[4][:-2], address=addresses[4],
+                                           seeds=tuple(addresses[:2])), 500, 77))
+    network.run(30_000.0)
+    assert agree(network) and not deaths(network)
+    # one that starts with a smaller one, its clock being behind, is told and goes above
+    network.kill(addresses[4])
+    network.run(network.now + 60_000.0)
+    network.add(addresses[4], Swim(replace(FLEET, name=addresses[4][:-2], address=addresses[4],
+                                           seeds=tuple(addresses[:2])), 3, 78))
+    network.run(network.now + 30_000.0)
+    node = network.nodes[addresses[4]]
+    assert isinstance(node, Swim) and node.incarnation > 500 and agree(network)
+
+
+def test_a_slow_member_accuses_no_healthy_one_to_death() -> None:
+    """Its own processor is short: it runs for a moment, and then stands still for longer."""
+    network, addresses = fleet(10)
+    network.run(10_000.0)
+
+    def stall() -> None:
+        network.pause(addresses[0], 700.0)
+        if network.now < 300_000.0:
+            network.at(network.now + 900.0, stall)
+
+    stall()
+    network.run(330_000.0)
+    assert {name for _, name in deaths(network)} <= {addresses[0][:-2]}
+    assert network.nodes[addresses[0]].counts["overslept"] > 50
+
+
+def test_a_leave_is_told_and_is_no_death() -> None:
+    network, addresses = fleet(6)
+    network.run(10_000.0)
+    node = network.nodes[addresses[1]]
+    assert isinstance(node, Swim)
+    node.leave(START + network.now)
+    network._carry_out(addresses[1])
+    network.kill(addresses[1])
+    network.run(60_000.0)
+    assert not deaths(network)
+    assert all(view[addresses[1][:-2]] == LEFT for view in network.views().values())
+
+
+def test_dead_members_are_forgotten_and_no_table_keeps_them() -> None:
+    network, addresses = fleet(4, told=replace(FLEET, forget_ms=30_000.0))
+    network.run(5_000.0)
+    network.kill(addresses[3])
+    network.run(90_000.0)
+    for node in network.nodes.values():
+        assert isinstance(node, Swim)
+        assert addresses[3][:-2] not in node.members and len(node._dissemination) == 0
+        assert len(node._timers) < 6 and not node._relays
+
+
+names = st.sampled_from(["a", "b", "c", "me"])
+hosts = st.sampled_from(["h:1", "h:2"])
+updates = st.builds(Update, names, hosts, st.integers(0, 6), st.integers(0, 3), names)
+
+
+def believed(news: list[Update]) -> dict[str, tuple[int, int]]:
+    swim = Swim(Fleet("c", "me", "h:9"), 1, 1)
+    swim.know(1.0, [Update(name, "h:1", 0, ALIVE, name) for name in ("a", "b", "c")])
+    least = swim.incarnation
+    for number, update in enumerate(news):
+        swim.receive(2.0 + number * 1e-6, encode(View("c", "z", (update,), False)), "h:5")
+        assert swim.incarnation >= least  # incarnations only grow
+        least = swim.incarnation
+    return {name: (member.incarnation, member.state) for name, member in swim.members.items()}
+
+
+@FIXED
+@given(st.lists(updates, max_size=25), st.randoms(use_true_random=False))
+def test_views_depend_on_the_news_alone_and_not_on_its_order(news: list[Update], random: object) -> None:
+    shuffled = list(news)
+    random.shuffle(shuffled)  # type: ignore[attr-defined]
+    assert believed(news) == believed(shuffled) == believed(news + news)
+
+
+@FIXED
+@given(st.lists(updates.filter(lambda update: update.name == "me"), max_size=25))
+def test_a_member_is_never_less_than_alive_in_its_own_word(news: list[Update]) -> None:
+    swim = Swim(Fleet("c", "me", "h:9"), 1, 1)
+    for update in news:
+        swim.receive(2.0, encode(View("c", "z", (update,), False)), "h:5")
+        assert swim.update.order > update.order or update.state == ALIVE
+        assert swim.update.state == ALIVE
+
+
+@FIXED
+@given(st.integers(1, 5), st.integers(0, 3), st.floats(0.0, 9_000.0))
+def test_a_refuted_suspicion_never_ends_in_death(incarnation: int, accusers: int, refuted_at: float) -> None:
+    swim = Swim(Fleet("c", "me", "h:9"), 1, 1)
+    swim.know(0.0, [Update(name, "h:1", 0, ALIVE, name) for name in ("a", "b", "c", "d", "e")])
+    for accuser in ("b", "c", "d")[:accusers + 1]:
+        swim.receive(1.0, encode(View("c", "b", (Update("a", "h:1", incarnation, SUSPECT, accuser),), False)),
+                     "h:5")
+    least = swim.members["a"].suspicion
+    assert least is not None and least.until >= 1.0 + 5_000.0
+    swim.tick(min(refuted_at, least.until - 1.0))
+    swim.receive(min(refuted_at, least.until - 1.0),
+                 encode(View("c", "a", (Update("a", "h:1", incarnation + 1, ALIVE, "a"),), False)), "h:5")
+    now = refuted_at
+    for _ in range(200):
+        now += 250.0
+        swim.tick(now)
+    assert swim.members["a"].state == ALIVE
+
+
+@FIXED
+@given(st.integers(0, 2**31), st.sampled_from([0.0, 0.1, 0.25]), st.integers(3, 9),
+       st.lists(st.tuples(st.sampled_from(["pause", "cut", "part", "restart"]), st.integers(0, 8),
+                          st.floats(500.0, 30_000.0)), max_size=5))
+def test_all_members_converge_after_faults_stop(
+        seed: int, loss: float, count: int, faults: list[tuple[str, int, float]]) -> None:
+    network, addresses = fleet(count, seed, loss=loss)
+    for kind, which, ms in faults:
+        victim = addresses[which % count]
+        if kind == "pause":
+            network.pause(victim, ms)
+        elif kind == "cut":
+            network.cut = lambda source, to, victim=victim: source == victim  # type: ignore[misc]
+        elif kind == "part":
+            side = set(addresses[:1 + which % (count - 1)])
+            network.cut = lambda source, to, side=side: (source in side) != (to in side)  # type: ignore[misc]
+        else:
+            network.kill(victim)
+            network.add(victim, Swim(replace(FLEET, name=victim[:-2], address=victim,
+                                             seeds=tuple(addresses[:2])), int(network.now) + 2, seed))
+        network.run(network.now + ms)
+        network.cut = lambda source, to: False
+    network.loss = 0.0
+    network.run(network.now + 90_000.0)
+    assert agree(network)
+
+
+def test_a_suspicion_shrinks_as_members_confirm_it() -> None:
+    doubt = Suspicion(1_000.0, "a", 5_000.0, 30_000.0, 3)
+    ends = [doubt.until]
+    for accuser in ("a", "b", "c", "d", "e"):
+        doubt.confirm(accuser)
+        ends.append(doubt.until)
+    assert ends[0] == ends[1] == 31_000.0  # the first accuser again confirms nothing
+    assert ends[1] > ends[2] > ends[3] > ends[4] == ends[5] == 6_000.0
+    assert Suspicion(0.0, "a", 5_000.0, 30_000.0, 0).until == 5_000.0  # nobody is there to confirm
+
+
+@FIXED
+@given(st.binary(max_size=200))
+def test_noise_is_counted_and_dropped(noise: bytes) -> None:
+    swim = Swim(FLEET, 1, 1)
+    swim.receive(1.0, noise, "h:1")
+    assert swim.counts["malformed"] == 1 and not swim.outgoing() and not swim.members
+
+
+GOOD = Ping("gardens", "a", (Update("b", "h:1", 1, ALIVE, "b"),), 7, "x")
+
+
+@pytest.mark.parametrize("message", [
+    Ping("gardens", "no good", (), 1, "x"), Ping("", "a", (), 1, "x"), Ping("gardens", "a", (), -1, "x"),
+    Ping("gardens", "a", (), 2**32, "x"), Ack("gardens", "a" * 65, (), 1),
+    View("gardens", "a", (Update("b", "nowhere", 1, ALIVE, "b"),), False),
+    View("gardens", "a", (Update("b", "h:1", -1, ALIVE, "b"),), False),
+    View("gardens", "a", (Update("b", "h:1", 2**62 + 1, ALIVE, "b"),), False),
+    View("gardens", "a", (Update("b", "h:1", 1, 4, "b"),), False)])
+def test_a_field_out_of_its_bounds_makes_a_message_malformed(message: Ping | Ack | View) -> None:
+    with pytest.raises(Malformed):
+        decode(encode(message))
+    assert decode(encode(GOOD)) == GOOD
+
+
+def test_members_of_another_cluster_are_refused_and_a_full_table_takes_nobody() -> None:
+    swim = Swim(replace(FLEET, members_most=2), 1, 1)
+    swim.receive(1.0, encode(View("others", "a", (Update("a", "h:1", 1, ALIVE, "a"),), True)), "h:1")
+    assert swim.counts["foreign"] == 1 and not swim.members and not swim.outgoing()
+    for name in "abcd":
+        swim.receive(1.0, encode(View("gardens", "a", (Update(name, "h:1", 1, ALIVE, "a"),), False)), "h:1")
+    assert sorted(swim.members) == ["a", "b"] and swim.counts["members_refused"] == 2
+
+
+def test_no_datagram_is_larger_than_is_read() -> None:
+    network, addresses = fleet(60)
+    node = network.nodes[addresses[0]]
+    assert isinstance(node, Swim)
+    for number in range(90):
+        node._merge(Update("n" * 60 + str(number), "h" * 70 + ":65535", 2**61, ALIVE, "b" * 64))
+    node._tell_all("h:1", back=True)
+    network.run(5_000.0)
+    sizes = [len(datagram) for _, datagram in node.outgoing()]
+    node._tell_all("h:1", back=True)
+    sizes += [len(datagram) for _, datagram in node.outgoing()]
+    assert len(sizes) > 10 and max(sizes) <= LARGEST
