Test a mass restart beside cold engines over sixty gateways, and benchmark membership

Change: sixty gateways before forty modelled machines; 42 start anew while 12 engines come back cold. Asserted: no cold engine gets more than the site's budget over any second, the warm ones are shared, every request ends, nothing stays in a table. benchmarks/membership.py measures SWIM against heartbeats at the same message load.

--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,184 @@
+"""Membership among coordinators, in virtual time: detection, false deaths and cost, against plain heartbeats.
+
+    .venv/bin/python -m benchmarks.membership [--quick]
+
+Heartbeats go from all to all at the message load that SWIM had at that size. All is deterministic by seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from fordstair.lab.gossip import Heartbeats, Network, names_of, swim_fleet
+from fordstair.membership.awareness import Awareness
+from fordstair.membership.messages import DEAD
+from fordstair.membership.swim import Fleet, Swim
+
+FLEET = Fleet("bench", "x", "x:1")
+SETTLE_MS = 5_000.0
+LOSSES = (0.0, 0.1, 0.3, 0.5)
+MISSED = (3, 5)  # periods of silence after which a heartbeat's member is dead
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How much is played at one size of the fleet."""
+
+    members: int
+    kills: int  # each in a fleet of its own, where it is small
+    together: int  # kills in one run
+    lossy_s: float  # of each loss rate
+
+
+FULL = (Size(5, 100, 1, 7_200.0), Size(50, 40, 4, 600.0), Size(200, 24, 8, 150.0), Size(1_000, 10, 10, 30.0))
+QUICK = (Size(5, 20, 1, 600.0), Size(50, 4, 4, 30.0))
+
+
+class Plain(Swim):
+    """SWIM as first published: no local health, a suspicion of one length, no heed of own pauses."""
+
+    def _overslept(self, late_ms: float) -> None:
+        pass
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    """Return median and 99th percentile, in seconds."""
+    if not values:
+        return {"n": 0}
+    cuts = statistics.quantiles(values, n=100, method="inclusive") if len(values) > 1 else values * 99
+    return {"n": len(values), "median_s": round(statistics.median(values) / 1000.0, 2),
+            "p99_s": round(cuts[98] / 1000.0, 2)}
+
+
+def detection(members: int, kills: int, together: int, start: Callable[[Network, int], list[str]],
+              spaced_ms: float, seed: int) -> dict[str, Any]:
+    """Kill members one after the other; return the times until the first and until all others know."""
+    first, everybody = list[float](), list[float]()
+    for run in range(max(1, kills // together)):
+        network = Network(seed + run)
+        addresses = start(network, seed + run)
+        network.run(SETTLE_MS)
+        died = dict[str, float]()
+        for address in addresses[-together:]:
+            network.kill(address)
+            died[address[:-2]] = network.now
+            network.run(network.now + spaced_ms)
+        network.run(network.now + 2.0 * spaced_ms)
+        for name, at in died.items():
+            # Heartbeats know members by their addresses.
+            told = {seen.observer: seen.at - at for seen in reversed(network.seen) if seen.at >= at
+                    and seen.change.state == DEAD and seen.change.name.split(":")[0] == name
+                    and seen.observer in network.nodes}
+            if told:
+                first.append(min(told.values()))
+            if len(told) == members - len(died):
+                everybody.append(max(told.values()))
+    return {"first": quantiles(first), "all": quantiles(everybody)}
+
+
+def false_deaths(members: int, seconds: float, loss: float, start: Callable[[Network, int], list[str]],
+                 seed: int) -> tuple[float, Counter[str]]:
+    """Return how often a healthy member was held for dead, per member-hour, and the counts of all members."""
+    network = Network(seed, loss=loss)
+    start(network, seed)
+    network.run(seconds * 1000.0)
+    died = {(seen.change.name, seen.change.incarnation, int(seen.at / 60_000.0))
+            for seen in network.seen if seen.change.state == DEAD}
+    counts: Counter[str] = Counter()
+    for node in network.nodes.values():
+        counts.update(node.counts)
+    return len(died) / (members * seconds / 3600.0), counts
+
+
+def stalled(members: int, seconds: float, kind: type[Swim], seed: int) -> dict[str, Any]:
+    """A tenth of the members run for 0.2 s and stand still for 1.5 s, over and over: who is held for dead?"""
+    network = Network(seed)
+    told = FLEET if kind is Swim else replace(FLEET, suspicion_most=1.0)
+    addresses = swim_fleet(network, members, told, seed, kind=kind)
+    if kind is Plain:
+        for node in network.nodes.values():
+            assert isinstance(node, Swim)
+            node.awareness = Awareness(0)
+    slow = addresses[:max(1, members // 10)]
+
+    def stall(address: str) -> None:
+        network.pause(address, 1_500.0)
+        network.at(network.now + 1_700.0, lambda: stall(address))
+
+    for number, address in enumerate(slow):
+        network.at(number * 130.0, lambda address=address: stall(address))  # type: ignore[misc]
+    network.run(seconds * 1000.0)
+    names = {address[:-2] for address in slow}
+    accused = Counter(seen.change.state for seen in network.seen if seen.change.name not in names)
+    return {"healthy_suspected": accused[1], "healthy_dead": accused[DEAD]}
+
+
+def measure(size: Size, seed: int) -> dict[str, Any]:
+    """Return the figures of one size."""
+    def swim(network: Network, seed: int) -> list[str]:
+        return swim_fleet(network, size.members, FLEET, seed)
+
+    told: dict[str, Any] = {"swim": detection(size.members, size.kills, size.together, swim, 25_000.0, seed)}
+    rate, counts = false_deaths(size.members, size.lossy_s, 0.0, swim, seed)
+    member_s = size.members * size.lossy_s
+    load = counts["sent"] / member_s
+    told["swim"] |= {"messages_per_member_s": round(load, 2),
+                     "bytes_per_member_s": round(counts["sent_bytes"] / member_s, 1)}
+    rates = {0.0: rate}
+    for loss in LOSSES[1:]:
+        rates[loss], lossy = false_deaths(size.members, size.lossy_s, loss, swim, seed)
+        told["swim"][f"messages_at_loss_{loss}"] = round(lossy["sent"] / member_s, 2)
+    told["swim"]["false_deaths_per_member_hour"] = {str(loss): round(rate, 3) for loss, rate in rates.items()}
+    period_ms = (size.members - 1) / load * 1000.0
+    for missed in MISSED:
+        told[f"heartbeats_{missed}"] = heartbeats(size, period_ms, missed, seed)
+    return told
+
+
+def heartbeats(size: Size, period_ms: float, missed: int, seed: int) -> dict[str, Any]:
+    """Return the figures of heartbeats at a period; at 1,000 members only what follows from the period."""
+    told: dict[str, Any] = {"period_s": round(period_ms / 1000.0, 2)}
+    if size.members > 200:  # the last beat came up to a period before the death
+        return told | {"computed": True, "first": {"median_s": round((missed - 0.5) * period_ms / 1000.0, 1)}}
+
+    def start(network: Network, seed: int) -> list[str]:
+        addresses = names_of(size.members)
+        for number, address in enumerate(addresses):
+            others = [other for other in addresses if other != address]
+            network.add(address, Heartbeats(address, others, period_ms, missed, seed * 10_007 + number))
+        return addresses
+
+    kills, together = (size.kills, size.together) if size.members <= 50 else (size.together, size.together)
+    told |= detection(size.members, kills, together, start, (missed + 2.0) * period_ms, seed)
+    seconds = max(size.lossy_s, 10.0 * period_ms / 1000.0)
+    told["false_deaths_per_member_hour"] = {
+        str(loss): round(false_deaths(size.members, seconds, loss, start, seed)[0], 3) for loss in LOSSES}
+    return told
+
+
+def main() -> None:
+    """Measure, and print one JSON object last."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    asked = parser.parse_args()
+    told: dict[str, Any] = {"probe_ms": FLEET.probe_ms, "seed": asked.seed, "members": {}}
+    for size in QUICK if asked.quick else FULL:
+        began = time.monotonic()
+        told["members"][size.members] = measure(size, asked.seed)
+        print(f"{size.members} members: {time.monotonic() - began:.0f} s", flush=True)
+    seconds = 60.0 if asked.quick else 600.0
+    kinds: dict[str, type[Swim]] = {"lifeguard": Swim, "plain": Plain}
+    told["a_tenth_stalled"] = {name: stalled(50, seconds, kind, asked.seed) for name, kind in kinds.items()}
+    print(json.dumps(told))
+
+
+if __name__ == "__main__":
+    main()
--- a/fordstair/lab/gossip.py
+++ b/fordstair/lab/gossip.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Protocol
@@ -202,13 +202,13 @@
 
 
 def swim_fleet(network: Network, count: int, fleet: Fleet, seed: int, *,
-               incarnations: Mapping[str, int] | None = None) -> list[str]:
+               kind: type[Swim] = Swim) -> list[str]:
     """Start that many SWIM members who know each other already; return their addresses."""
     addresses = names_of(count)
     known = [Update(address[:-2], address, 1, ALIVE, address[:-2]) for address in addresses]
     for number, address in enumerate(addresses):
         told = replace(fleet, name=address[:-2], address=address, seeds=tuple(addresses[:2]))
-        node = Swim(told, (incarnations or {}).get(address, 1), seed * 10_007 + number)
+        node = kind(told, 1, seed * 10_007 + number)
         node.know(START, [update for update in known if update.address != address])
         network.add(address, node)
     return addresses
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
+from random import Random
 
-from cairnhoist.interface import ListKind, Status
+from cairnhoist.interface import Cancel, ListKind, Send, Status
+from fordstair.lab.machine import Job, Machine
 from tests.helpers import SAFE, Rig, entry, settings
 
 REPORTS = settings(report_fields=("util", "inflight"), instances=40)
@@ -119,3 +122,107 @@
         rig.end(request, Status.CANCELLED, 900.0, loose=loose)
         assert len(rig.sends(request)) == (1 if loose else 2)
         assert bool(rig.answers(request)) == loose
+
+
+class Site:
+    """Many gateways before shared machines, in steps of virtual time; a restart empties their memory."""
+
+    STEP_MS = 25.0
+
+    def __init__(self, gateways: int, engines: int, seed: int) -> None:
+        self.random, self.now = Random(seed), 1_000.0
+        self.config = settings(instances=gateways, report_fields=("util", "inflight"), cold_from=0.32,
+                               cold_ms=15_000.0, fall_multiple=2.5, fall_ms=1_000.0)
+        self.entries = {f"10.0.0.{n}:80": entry(n) for n in range(1, engines + 1)}
+        self.machines = {name: Machine(8.0, cold_part=0.32, warm_ms=15_000.0) for name in self.entries}
+        self.rigs = [self.started(seed * 1_000 + number) for number in range(gateways)]
+        self.read = [0] * gateways  # how much of each log was carried out
+        self.jobs: dict[str, tuple[Rig, int, int, float]] = {}  # rig, request, attempt, since
+        self.sent: list[tuple[float, str, float]] = []  # time, engine, thread-milliseconds
+        self.asked: list[tuple[Rig, int]] = []
+
+    def started(self, seed: int) -> Rig:
+        rig = Rig(self.config, engines=0, seed=seed)
+        rig.now = self.now
+        rig.members(*self.entries.values(), kind=ListKind.FULL)
+        return rig
+
+    def restart(self, gateways: int, cold: int) -> None:
+        """Kill the first gateways and start them anew, while the first engines come back cold."""
+        for number in range(1, cold + 1):
+            name = f"10.0.0.{number}:80"
+            self.entries[name] = entry(number, started=self.now)
+            self.machines[name].restart(self.now)
+        self.jobs = {job: held for job, held in self.jobs.items() if held[0] not in self.rigs[:gateways]
+                     and any(job in machine.jobs for machine in self.machines.values())}
+        self.asked = [(rig, request) for rig, request in self.asked if rig not in self.rigs[:gateways]]
+        for number in range(gateways):
+            self.rigs[number], self.read[number] = self.started(900_000 + number), 0
+        for rig in self.rigs[gateways:]:
+            rig.members(*list(self.entries.values())[:cold])
+            for request in {send.request for send in rig.sends() if send.engine in list(self.entries)[:cold]}:
+                if not rig.answers(request) and request in rig.gateway.requests:
+                    rig.end(request, Status.RESET)
+
+    def run(self, seconds: float, per_s: float) -> None:
+        """Let clients ask at that rate."""
+        for _ in range(int(seconds * 1_000.0 / self.STEP_MS)):
+            self.now += self.STEP_MS
+            for rig in self.rigs:
+                rig.pass_time(self.now - rig.now)
+            for _ in range(int(per_s * self.STEP_MS / 1_000.0 + self.random.random())):
+                rig = self.random.choice(self.rigs)
+                self.asked.append((rig, rig.ask(SAFE, self.random.choice((60.0, 120.0, 300.0)))))
+            for name, machine in self.machines.items():
+                for job in machine.advance(self.now):
+                    self.ended(name, machine, job)
+            self.carry_out()
+
+    def ended(self, name: str, machine: Machine, job: Job) -> None:
+        rig, request, attempt, since = self.jobs.pop(job.id, (None, 0, 0, 0.0))
+        if rig is not None:
+            rig.end(request, Status.OK, self.now - since, attempt, work_ms=job.work_ms,
+                    report=(machine.util, float(len(machine.jobs))))
+
+    def carry_out(self) -> None:
+        """Do what the gateways ordered since the last step."""
+        for number, rig in enumerate(self.rigs):
+            for _, action in itertools.islice(rig.log, self.read[number], None):
+                match action:
+                    case Send(request, engine):
+                        cost, job = rig.gateway.requests[request].cost, f"{number}.{id(rig)}.{request}"
+                        self.jobs[job] = rig, request, rig.gateway.requests[request].sent - 1, self.now
+                        self.machines[engine].start(Job(job, cost, 1), self.now)
+                        self.sent.append((self.now, engine, cost))
+                    case Cancel(request, _):
+                        job = f"{number}.{id(rig)}.{request}"
+                        for machine in self.machines.values():
+                            machine.drop(job, self.now)
+                        if (held := self.jobs.pop(job, None)) is not None:
+                            rig.end(request, Status.CANCELLED, self.now - held[3], held[2])
+            self.read[number] = len(rig.log)
+
+
+def test_when_most_gateways_start_anew_beside_cold_engines_all_together_spare_them() -> None:
+    site = Site(60, 40, 1)
+    site.run(1.5, 1_700.0)
+    restart = site.now
+    site.restart(gateways=42, cold=12)
+    site.run(2.5, 1_700.0)
+    cold = {f"10.0.0.{n}:80" for n in range(1, 13)}
+    after = [(at - restart, engine, cost) for at, engine, cost in site.sent if at > restart]
+    # the site's budget for a cold engine: its capacity at 85 % of the cores, times 2.5, over any second
+    for engine in cold:
+        for start in range(0, 1_500, 100):
+            got = sum(cost for at, name, cost in after if name == engine and start <= at < start + 1_000.0)
+            warmth = 0.32 + 0.68 * start / 15_000.0
+            assert got <= 2.5 * 0.85 * 8.0 * warmth * 1_000.0, (engine, start, got)
+    # gateways that know nothing yet spread what they send over the warm engines
+    early = Counter(engine for at, engine, _ in after if at < 500.0)
+    warm = [early[name] for name in site.entries if name not in cold]
+    assert max(warm) < 3.0 * sum(warm) / len(warm) and min(warm) > 0
+    site.run(4.0, 0.0)
+    # every request of those that live got its answer, and no table of theirs holds anything more
+    assert not any(rig.gateway.requests or rig.gateway.attempts for rig in site.rigs)
+    refused = sum(bool(rig.answers(request)) for rig, request in site.asked)
+    assert refused < 0.2 * len(site.asked)
