Run a load under a repeat id at most once in the whole fleet, over kills and partitions

Need: a coordinator forgot at its end which loads it had run, and one sent again through another could run twice. Change: fordstair/replication, a grant register: a key's fixed holders (three, by rendezvous hashing) grant it once, on disk before they say so, and a load runs once a majority has; outcomes are kept, told and exchanged by digests of ranges; a holder whose memory is in doubt grants nothing until it has heard all others. fordstair/store: sqlite in WAL mode, a checksum on each record, shared commits, a damaged file put aside, a full disk named and borne; the list of engines is kept there too and served from where the register is down. lab/history.py checks histories, lab/ledger_trial.py kills and parts running programs; [fleet.ledger], console, counters. Off unless set. Found while testing: reading the store in a thread lifted the doubt for a moment; it now changes nothing there.

--- a/fordstair/console/panes.py
+++ b/fordstair/console/panes.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from fordstair.feed.picture import EngineView, Picture
+from fordstair.feed.picture import EngineView, MemberView, Picture
 
 Rows = list[tuple[str, tuple[str, ...]]]  # key and cells
 
@@ -100,10 +100,20 @@
         age(view.since_ms, now_ms), str(view.incarnation),
         f"{view.accusers} for {span(view.until_ms - now_ms)}" if view.until_ms else "-",
         view.by if not view.own else "-", view.address,
-        f"health {view.health}" if view.own else "only through others" if view.cut_off else ""))
+        _member_note(view)))
         for view in picture.rows("members")]
 
 
+def _member_note(view: MemberView) -> str:
+    if not view.own:
+        notes = ["only through others"] if view.cut_off else []
+        return ", ".join(notes + ([f"ledger differs in {view.behind} ranges"] if view.behind else []))
+    notes = [f"health {view.health}"]
+    if view.store_bytes:
+        notes.append(f"ledger {view.entries} loads, {view.store_bytes / 1e6:.1f} MB")
+    return ", ".join(notes + ([f"grants nothing: {view.doubted}"] if view.doubted else []))
+
+
 def _notes(picture: Picture, now_ms: float, stale: bool) -> Rows:
     return [(str(note.number), (age(note.at_ms, now_ms), note.level, note.text))
             for note in reversed(picture.notes)]
--- a/fordstair/feed/observe.py
+++ b/fordstair/feed/observe.py
@@ -32,6 +32,7 @@
 
 if TYPE_CHECKING:
     from fordstair.membership.transport import Membership
+    from fordstair.replication.service import Service
 
 REQUESTS_MOST = 50  # the oldest; the counts by class and team hold all
 NOTES_MOST = 100
@@ -42,8 +43,8 @@
     """Keeps the latest picture, and makes the next one from it."""
 
     def __init__(self, name: str, coordinator: Coordinator, ledger: Ledger, started_ms: float,
-                 membership: Membership | None = None) -> None:
-        self.membership = membership
+                 membership: Membership | None = None, shared: Service | None = None) -> None:
+        self.membership, self.shared = membership, shared
         self.name, self.coordinator, self.ledger = name, coordinator, ledger
         self.started_ms, self.watchers = started_ms, 0
         self.picture = Picture()
@@ -137,15 +138,20 @@
             return {}
         from fordstair.membership.messages import STATES
 
-        me = swim.update
-        views = {me.name: MemberView(me.name, me.address, "mute" if swim.mute else STATES[me.state],
-                                     me.incarnation, self.started_ms, own=True, health=swim.awareness.score)}
+        me, shared = swim.update, self.shared
+        views = {me.name: MemberView(
+            me.name, me.address, "mute" if swim.mute else STATES[me.state], me.incarnation, self.started_ms,
+            own=True, health=swim.awareness.score,
+            entries=len(shared.holder.entries) if shared is not None else 0,
+            store_bytes=shared.disk.size_bytes if shared is not None else 0,
+            doubted=shared.holder.doubted or shared.writer.broken if shared is not None else "")}
         for each in swim.members.values():
             doubt = each.suspicion
             views[each.name] = MemberView(
                 each.name, each.address, STATES[each.state], each.incarnation, each.since, each.by,
                 len(doubt.accusers) if doubt is not None else 0,
-                doubt.until if doubt is not None else 0.0, each.cut_off)
+                doubt.until if doubt is not None else 0.0, each.cut_off,
+                behind=shared.behind.get(each.name) if shared is not None else None)
         return views
 
     def _adjustments(self) -> dict[str, AdjustmentView]:
--- a/fordstair/feed/picture.py
+++ b/fordstair/feed/picture.py
@@ -123,6 +123,10 @@
     cut_off: bool = False  # reached through others alone
     own: bool = False
     health: int = 0  # of itself: 0 is healthy, timeouts stretch by one more than this
+    behind: int | None = None  # ranges of the ledger in which it differed when last compared; None: never was
+    entries: int = 0  # of itself: loads that its ledger remembers ...
+    store_bytes: int = 0  # ... and what they take on disk
+    doubted: str = ""  # of itself: why its ledger grants nothing just now
 
 
 class NoteView(Struct, frozen=True):
--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -56,6 +56,7 @@
         self.ended: dict[str, Run] = {}  # the latest ones that have
         self.started: Counter[str] = Counter()  # how often each id was started here
         self.counts: Counter[str] = Counter()
+        self.on_start: Callable[[str, bytes], None] = lambda lane, statement: None
         self._report, self._report_ms = "", -math.inf
         self._woken = trio.Event()
         self._spoken = trio.Event()  # set while it is not silent
@@ -211,6 +212,7 @@
         now = self.clock()
         self.started[txn] += 1
         self.counts[f"started.{lane}"] += 1
+        self.on_start(lane, body)
         if lane == "meter-load" and self.started[txn] > 1:
             self.counts["loads_run_twice"] += 1
         run = Run(txn, lane, pages_of(txn, rows), now, now)
--- a/fordstair/net/command_channel.py
+++ b/fordstair/net/command_channel.py
@@ -84,6 +84,7 @@
                  counters: Counters) -> None:
         self.channel, self.cursor, self.deliver = channel, cursor, deliver
         self.deadlines, self.counters = deadlines, counters
+        self.heard_ms = 0.0  # when the channel last said anything; 0: never
         self._scope = trio.CancelScope()
 
     def move(self, channel: str) -> None:
@@ -127,6 +128,7 @@
                     raise OSError("silence")
                 if not chunk:
                     raise OSError("closed")
+                self.heard_ms = self.deadlines.clock()
                 buffer = buffer + chunk if buffer else bytes(chunk)
                 view, at = memoryview(buffer), 0
                 while (frame := read_frame(view[at:])) is not None:
--- a/fordstair/net/door.py
+++ b/fordstair/net/door.py
@@ -41,6 +41,7 @@
 
 if TYPE_CHECKING:
     from fordstair.membership.transport import Membership
+    from fordstair.replication.service import Service
 
 log = Events(__name__)
 
@@ -76,11 +77,12 @@
     """Answers commands, judges adjustments, and feeds those that follow."""
 
     def __init__(self, name: str, coordinator: Coordinator, drain: Callable[[], None],
-                 watchers_most: int = 8, membership: Membership | None = None) -> None:
+                 watchers_most: int = 8, membership: Membership | None = None,
+                 shared: Service | None = None) -> None:
         self.coordinator, self.deadlines, self.drain = coordinator, coordinator.deadlines, drain
         self.watchers_most, self.connections = watchers_most, 0
         self.ledger = Ledger()
-        self.observer = Observer(name, coordinator, self.ledger, self.deadlines.clock(), membership)
+        self.observer = Observer(name, coordinator, self.ledger, self.deadlines.clock(), membership, shared)
         if membership is not None:
             membership.listeners.append(lambda _: self.change())
         self.pace, self._changed, self._news = Pace(), True, trio.Event()
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/odata_front.py
@@ -26,11 +26,13 @@
     EntitySet,
     ODataError,
     Operator,
+    Response,
     insertion,
     metadata,
     read_resource,
     understand,
 )
+from fordstair.net.repeats import OwnRepeats, Repeats
 
 log = Events(__name__)
 
@@ -45,7 +47,6 @@
 AT_DEADLINE_MS = 50.0  # an answer that close to the deadline came because of it
 RESULTS_BYTES = 32 * 1024 * 1024  # of all kept rows together, within the limit on memory
 ROW_BYTES = 64  # what a row takes beyond its text
-REPEATS_MOST, REPEAT_MS = 4_096, 600_000.0
 _WAIT = re.compile(r"(?:^|[,;\s])wait=(\d{1,6})(?:$|[,;\s])")
 _PAGE = re.compile(r"(?:odata\.)?maxpagesize=(\d{1,6})")
 
@@ -77,15 +78,6 @@
         self.done.set()
 
 
-@dataclass(slots=True)
-class Response:
-    """One HTTP answer."""
-
-    status: int
-    body: bytes = b""
-    headers: dict[str, str] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Result:
     """Rows that are still to be fetched, page by page, by the team that asked for them."""
@@ -133,35 +125,6 @@
         return result, int(start), name
 
 
-class Repeats:
-    """Writes that carry a Repeatability-Request-ID: each runs at most once, whatever is sent again."""
-
-    def __init__(self, coordinator: Coordinator) -> None:
-        self.coordinator = coordinator
-        self._known: OrderedDict[tuple[str, str], Response | None] = OrderedDict()
-
-    def begin(self, team: str, name: str) -> Response | None:
-        """Note a write; return its answer if it is a repeat, and refuse one whose first run is not over."""
-        if (team, name) in self._known:
-            if (known := self._known[team, name]) is not None:
-                return known
-            raise ODataError(412, "Repeated", "this load was sent before and its end is not known",
-                             {"Repeatability-Result": "rejected"})
-        if len(self._known) >= REPEATS_MOST:
-            raise ODataError(503, "TooManyRepeats", "no room to remember another load", {"Retry-After": "60"})
-        self._known[team, name] = None
-        deadlines = self.coordinator.deadlines
-        deadlines.add(deadlines.clock() + REPEAT_MS, partial(self._known.pop, (team, name), None))
-        return None
-
-    def end(self, team: str, name: str, response: Response | None) -> None:
-        """Note the answer of a write that ran; None where it certainly never ran."""
-        if response is None:
-            self._known.pop((team, name), None)
-        elif (team, name) in self._known:
-            self._known[team, name] = response
-
-
 class ODataFront:
     """Serves HTTP connections."""
 
@@ -171,7 +134,7 @@
                  team_of: Callable[[trio.abc.Stream], str | None] = lambda _: None) -> None:
         self.coordinator, self.operator = coordinator, operator
         self.results = Results(operator.results_most, operator.result_ms, coordinator)
-        self.repeats = Repeats(coordinator)
+        self.repeats: Repeats = OwnRepeats(coordinator)
         self.team_of = team_of
         self.connections = self.busy = 0
 
@@ -404,14 +367,15 @@
             raise ODataError(400, "BadRequest", "the body is no JSON") from None
         statement = insertion(entity_set, entity)
         name = headers.get("repeatability-request-id", "")
-        if name and (known := self.front.repeats.begin(team, name)) is not None:
-            return known
+        ticket = await self.front.repeats.begin(team, name) if name else None
+        if isinstance(ticket, Response):
+            return ticket
         marks = {"Repeatability-Result": "accepted"} if name else {}
         try:
             await self._run(statement, entity_set.write, entity_set, team, headers)
         except ODataError as error:
             if name:  # a refusal proves that nothing ran; any other error proves nothing
-                self.front.repeats.end(team, name, None if error.status == 503 else _error(error))
+                self.front.repeats.end(ticket, None if error.status == 503 else _error(error))
             raise
         if "return=minimal" in headers.get("prefer", ""):
             response = Response(204, b"", marks | {"Preference-Applied": "return=minimal"})
@@ -421,7 +385,7 @@
         quoted = quote(str(entity[entity_set.key]).replace("'", "''"), safe="")
         response.headers["Location"] = f"{self.operator.root}/{entity_set.name}('{quoted}')"
         if name:
-            self.front.repeats.end(team, name, response)
+            self.front.repeats.end(ticket, response)
         return response
 
     async def _run(self, statement: str, lane: str, entity_set: EntitySet, team: str,
--- a/fordstair/net/odata_model.py
+++ b/fordstair/net/odata_model.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from fordstair.membership.swim import Fleet
+    from fordstair.replication.service import Ledger
 
 _KEY = re.compile(r"(?P<set>\w+)\((?:(?P<name>\w+)=)?'(?P<key>(?:[^']|'')*)'\)\Z")
 _OPTIONS = {"$select", "$filter", "$orderby", "$top", "$skip", "$count", "$skiptoken", "$format"}
@@ -30,6 +31,15 @@
         self.status, self.code, self.message, self.headers = status, code, message, dict(headers or {})
 
 
+@dataclass(slots=True)
+class Response:
+    """One HTTP answer."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class EntitySet:
     """One entity set: a table, its columns, and the classes that its requests belong to."""
@@ -67,6 +77,7 @@
     watchers: int = 8  # consoles that may follow at a time
     fleet: Fleet | None = None  # membership among coordinators; no address: the one that is bound
     fleet_listen: tuple[str, int] = ("127.0.0.1", 0)
+    ledger: Ledger | None = None  # of loads that run at most once among all coordinators
 
 
 class _Where(AstToSqlVisitor):
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -28,6 +28,7 @@
     from fordstair.net.identity import Identity
     from fordstair.net.odata_front import ODataFront
     from fordstair.net.odata_model import Operator
+    from fordstair.replication.service import Service
 
 log = Events("fordstair")
 
@@ -37,6 +38,7 @@
 SPARE_SOCKETS = 40  # the listeners, the channel, the console, standard streams and some room
 # Usual clients hold at most a third of the sockets; the rest is for those that must be told so first.
 CLIENTS_PART = 0.4
+KEEP_MS = 5_000.0  # between two notes on disk that the register was heard
 STATEMENTS_PART, SMALLEST_BOUND = 0.125, 16 * 1024
 
 
@@ -46,10 +48,12 @@
     def __init__(self, config: Config, operator: Operator | None, load: Callable[[], Config]) -> None:
         self.config, self.operator, self.load = config, operator, load
         self.deadlines, self.counters, self.stop = Deadlines(), Counters(), trio.Event()
+        self.listed = trio.Event()  # set by news of engines
         self.identity: Identity | None = None
         self.odata: ODataFront | None = None
         self.door: Door | None = None
         self.membership: Membership | None = None
+        self.ledger: Service | None = None
         if operator is not None and operator.identity:
             from fordstair.net.identity import Identity, read_files
 
@@ -78,6 +82,14 @@
 
             team_of = self.identity.team_of if self.identity else lambda _: None
             self.odata = ODataFront(self.coordinator, operator, team_of)
+        if operator is not None and operator.ledger is not None and self.odata is not None:
+            from fordstair.net.repeats import SharedRepeats
+            from fordstair.replication.service import Service
+
+            named = replace(operator.ledger, member=operator.ledger.member or config.name)
+            self.ledger = Service(named, config.seed)
+            self.odata.repeats = SharedRepeats(self.ledger)
+            self.counters.include("ledger", lambda: self.ledger.counts if self.ledger else {})
         if operator is not None and operator.fleet is not None:
             from fordstair.membership.transport import Membership
 
@@ -88,7 +100,7 @@
             from fordstair.net.door import Door
 
             self.door = Door(config.name, self.coordinator, self.stop.set, operator.watchers,
-                             self.membership)
+                             self.membership, self.ledger)
         self.bound()
         self.command_channel = CommandChannel(
             config.channel, config.cursor, self.members, self.deadlines, self.counters)
@@ -105,6 +117,31 @@
             if self.operator is not None:
                 engine.protocol = self.operator.engines.get(engine.entry.engine, engine.protocol)
         self.coordinator.members(kind, engines)
+        self.listed.set()
+
+    async def keep_engines(self, ledger: Service) -> None:
+        """Keep the list of engines on disk; where nobody tells of any at the start, go on with that one."""
+        from fordstair.store.disk import StoreFailed
+        from fordstair.store.engines import kept, restored
+
+        await ledger.loaded.wait()
+        heard_ms = self.deadlines.clock()
+        if not self.coordinator.engines:
+            engines = restored(ledger.others, heard_ms, self.config.settings.cold_ms)
+            if engines:
+                log.warning("engines.restored", engines=len(engines))
+                self.members(ListKind.FULL, engines)
+            heard_ms = 0.0  # what is kept stays as old as it is until the register is heard
+        while True:
+            self.listed = trio.Event()
+            heard_ms = max(heard_ms, self.command_channel.heard_ms)
+            if heard_ms > 0.0 and self.coordinator.engines:
+                try:
+                    await ledger.writer.put([kept(self.coordinator.engines.values(), heard_ms)])
+                except StoreFailed as error:
+                    log.warning("engines.not_kept", why=error)
+            with self.deadlines.limit(self.deadlines.clock() + KEEP_MS):
+                await self.listed.wait()
 
     async def run(self) -> None:
         """Run until SIGTERM, or the console's drain, has been followed by the last answer."""
@@ -118,6 +155,8 @@
             nursery.start_soon(self.command_channel.run)
             if self.membership is not None:
                 await self.join(nursery, self.membership)
+            if self.ledger is not None:
+                await self.remember(nursery, self.ledger)
             if self.operator is not None and self.door is not None:
                 await nursery.start(self.door.run, self.operator.console)
             accepting = [trio.CancelScope()]
@@ -141,6 +180,14 @@
         except OSError as error:
             raise ConfigError(f"fleet.listen: {error}") from None
 
+    async def remember(self, nursery: trio.Nursery, ledger: Service) -> None:
+        """Hold a part of the fleet's ledger from now on."""
+        try:
+            await nursery.start(ledger.run)
+        except OSError as error:
+            raise ConfigError(f"fleet.ledger: {error}") from None
+        nursery.start_soon(self.keep_engines, ledger)
+
     async def serve_odata(self, stream: trio.SocketStream) -> None:
         """Serve an OData client, after its handshake where there are identities."""
         assert self.odata is not None
--- /dev/null
+++ b/fordstair/replication/service.py
@@ -0,0 +1,521 @@
+"""One member's ledger at work: its holder on disk, links to the others, its server, claims and exchange."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import math
+import random
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import msgspec
+import trio
+
+from fordstair.core.clock import now_ms
+from fordstair.core.events import Events
+from fordstair.replication.ledger import (
+    OUTCOME_MOST,
+    UNKNOWN_TOKEN,
+    Answer,
+    Claim,
+    Entry,
+    Holder,
+    Verdict,
+    Word,
+    holders_of,
+    weight,
+)
+from fordstair.replication.link import Link, Lost, no_delay
+from fordstair.replication.messages import (
+    PAGE_BYTES,
+    Ask,
+    AskClaim,
+    AskDigests,
+    AskRange,
+    AskRelease,
+    AskSettle,
+    Digests,
+    Done,
+    Frame,
+    Hello,
+    Malformed,
+    Page,
+    Reader,
+    Said,
+    Told,
+    encode,
+)
+from fordstair.store.disk import Disk, Record, Spoilt, StoreDamaged, StoreFailed
+from fordstair.store.writer import Batch, Writer
+
+log = Events(__name__)
+
+T = TypeVar("T", bound=Told)
+
+KIND = "claim"
+CLIENTS_MOST = 256
+AT_ONCE = 64  # questions of one member that are worked on at a time; more wait on its connection
+SETTLE_S = 5.0  # in which holders are told of an outcome; those that do not hear it get it by exchange
+RELEASE_S = 2.0
+AGAIN_S = 1.0  # before a store that cannot be opened is tried again
+GREET_S = 5.0  # in which whoever connects must say who it is
+RECOVER_S = 10.0  # in which all others must have told all
+FIRST_START_S = 60.0  # for which a member of a new fleet tells the others that its store is new as well
+READ_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Ledger:
+    """What a member is told of the ledger; times in milliseconds."""
+
+    cluster: str
+    member: str
+    holders: Mapping[str, str]  # every member that holds keys, by name, with its address; fixed
+    listen: tuple[str, int]
+    path: str  # the store's file
+    replicas: int = 3
+    claim_ms: float = 1_000.0  # in which a majority must have answered
+    repeat_ms: float = 600_000.0
+    exchange_ms: float = 5_000.0  # between two exchanges with another member
+    bytes_per_s: float = 1_000_000.0  # that an exchange may bring
+    entries_most: int = 50_000
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A claim that may run; ``settle`` or ``release`` it."""
+
+    key: str
+    token: str
+    holders: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """An answer, the one to give where the disk fails, and what must be on disk before."""
+
+    ok: Told
+    failed: Told | None = None
+    batch: Batch | None | StoreFailed = None
+
+
+@dataclass(slots=True)
+class Stored:
+    """What a store was found to hold."""
+
+    doubted: str  # why it may not be all that was granted; empty: it is
+    spoilt: int = 0
+    entries: list[tuple[str, Entry]] = field(default_factory=list)
+    others: list[Record] = field(default_factory=list)  # of other kinds
+
+
+class Service:
+    """The ledger of one member. A key is what a client calls its load, with the team's name before it."""
+
+    def __init__(self, told: Ledger, seed: int) -> None:
+        self.told, self._random = told, random.Random(seed)
+        self.counts: Counter[str] = Counter()
+        self.holder = Holder(told.member, told.holders, told.replicas, told.repeat_ms, told.entries_most)
+        self.holder.doubted = "the store is not read yet"
+        self.disk = Disk(told.path)
+        self.writer = Writer(self.disk)
+        self.writer.broken = self.holder.doubted
+        self.loaded, self.others = trio.Event(), list[Record]()  # what other parts keep in the store
+        self.behind: dict[str, int] = {}  # ranges in which another member differed when last compared
+        self._links = {name: Link(told.cluster, told.member, address, _host_of(told))
+                       for name, address in told.holders.items() if name != told.member}
+        self._token = f"{told.member}:{int(now_ms())}:{seed & 0xffffff:x}"
+        self._numbers = itertools.count(1)
+        self._nursery: trio.Nursery | None = None
+        self._clients, self._new_until = 0, -math.inf
+        self.port = 0
+
+    # Claims
+
+    async def begin(self, key: str) -> tuple[Verdict, Begun | None, bytes | None]:
+        """Claim a key; return the verdict, and the claim to run under or the outcome of the load that ran."""
+        holders = holders_of(key, self.told.holders, self.told.replicas)
+        claim = Claim(key, f"{self._token}:{next(self._numbers)}", holders)
+        self.counts["claims"] += 1
+        try:
+            verdict = await self._ask_all(claim)
+        except BaseException:  # nobody waits for it any more: it has not run, and will not
+            self.release_later(Begun(key, claim.token, holders))
+            raise
+        self.counts[f"claims_{verdict.name.lower()}"] += 1
+        if verdict is Verdict.RUN:
+            return verdict, Begun(key, claim.token, holders), None
+        self.release_later(Begun(key, claim.token, holders))
+        return verdict, None, claim.outcome
+
+    async def _ask_all(self, claim: Claim) -> Verdict:
+        """Ask all holders at once, until there is a verdict or the time is over."""
+        send, receive = trio.open_memory_channel[tuple[str, Answer]](len(claim.holders))
+
+        async def ask(holder: str) -> None:
+            send.send_nowait((holder, await self._ask_claim(holder, claim)))
+
+        with trio.move_on_after(self.told.claim_ms / 1000.0):
+            async with trio.open_nursery() as nursery:
+                for holder in claim.holders:
+                    nursery.start_soon(ask, holder)
+                while (verdict := claim.verdict(over=False)) is None:
+                    verdict = claim.heard(*await receive.receive())
+                    if verdict is not None:
+                        break
+                nursery.cancel_scope.cancel()
+        return claim.verdict(over=True) or Verdict.REFUSE
+
+    async def _ask_claim(self, holder: str, claim: Claim) -> Answer:
+        try:
+            said = await self._ask(holder, lambda number: AskClaim(number, claim.key, claim.token), Said)
+        except Lost:  # it may have granted: that is given back with the rest
+            return Answer(Word.CANNOT)
+        return Answer(Word(said.word), said.token, said.outcome)
+
+    async def settle(self, begun: Begun, outcome: bytes) -> None:
+        """Note how a load ended: on this disk where it holds the key, and with the other holders."""
+        outcome = outcome if len(outcome) <= OUTCOME_MOST else b""
+        with trio.move_on_after(SETTLE_S):
+            async with trio.open_nursery() as nursery:
+                for holder in begun.holders:
+                    nursery.start_soon(self._settle_at, holder, begun, outcome)
+
+    async def _settle_at(self, holder: str, begun: Begun, outcome: bytes) -> None:
+        while True:
+            with contextlib.suppress(Lost):
+                done = await self._ask(
+                    holder, lambda number: AskSettle(number, begun.key, begun.token, outcome), Done)
+                if done.ok:
+                    return
+            await trio.sleep(0.2)
+
+    def settle_later(self, begun: Begun, outcome: bytes) -> None:
+        """Settle in the background."""
+        self._nursery_of().start_soon(self.settle, begun, outcome)
+
+    def release_later(self, begun: Begun) -> None:
+        """Release in the background."""
+        self._nursery_of().start_soon(self.release, begun)
+
+    async def release(self, begun: Begun) -> None:
+        """Give a claim back that has run nothing, and never will."""
+        with trio.move_on_after(RELEASE_S):
+            async with trio.open_nursery() as nursery:
+                for holder in begun.holders:
+                    nursery.start_soon(self._release_at, holder, begun)
+
+    async def _release_at(self, holder: str, begun: Begun) -> None:
+        with contextlib.suppress(Lost):
+            await self._ask(holder, lambda number: AskRelease(number, begun.key, begun.token), Done)
+
+    def _nursery_of(self) -> trio.Nursery:
+        assert self._nursery is not None, "the ledger is not running"
+        return self._nursery
+
+    # The holder, on disk
+
+    def _decide(self, member: str, frame: Frame) -> Decided:
+        """Do in memory what a member asks, and return what must be on disk before it is told.
+
+        Called in the order in which questions came, and hands its records to the writer at once: a release
+        may not overtake its claim, in memory or on disk.
+        """
+        holder = self.holder
+        match frame:
+            case AskClaim(number, key, token):
+                answer, entry = holder.claim(now_ms(), key, token)
+                said = Said(number, answer.word.value, answer.token, answer.outcome)
+                # Where the write fails nobody knows what is on disk: it stays granted, and is not said to be.
+                return self._decided(said, Said(number, Word.CANNOT.value, "", None), key, entry)
+            case AskRelease(number, key, token):
+                gone = [Record(KIND, key.encode(), None)] if holder.release(key, token) else []
+                return Decided(Done(number, True), Done(number, False), self._add(gone))
+            case AskSettle(number, key, token, outcome):
+                entry = holder.settle(now_ms(), key, token, outcome)
+                return self._decided(Done(number, True), Done(number, False), key, entry)
+            case AskDigests(number):
+                holder.expire(now_ms())
+                return Decided(Digests(number, list(holder.digests[member])))
+            case AskRange(number, which, after, grants):
+                page, more = holder.page(which, after, PAGE_BYTES, grants=grants)
+                return Decided(Page(number, page, more, bool(holder.doubted), self.new))
+        raise Malformed("no question")
+
+    def _decided(self, ok: Told, failed: Told, key: str, entry: Entry | None) -> Decided:
+        return Decided(ok, failed, self._add([self._record(key, entry)] if entry is not None else []))
+
+    def _add(self, records: Sequence[Record]) -> Batch | None | StoreFailed:
+        """Hand records to the writer; None where there is nothing to wait for."""
+        try:
+            return self.writer.add(records) if records else None
+        except StoreFailed as error:
+            return error
+
+    async def _told(self, decided: Decided) -> Told:
+        """Wait for the disk; return the answer that may then be given."""
+        try:
+            if isinstance(decided.batch, StoreFailed):
+                raise decided.batch
+            if decided.batch is not None:
+                await decided.batch.written()
+        except StoreFailed:
+            self.counts["writes_failed"] += 1
+            assert decided.failed is not None
+            return decided.failed
+        return decided.ok
+
+    def _record(self, key: str, entry: Entry) -> Record:
+        expires = int(entry.granted_ms + self.told.repeat_ms)
+        return Record(KIND, key.encode(), msgspec.msgpack.encode(entry), expires)
+
+    async def _put(self, records: Sequence[Record]) -> bool:
+        try:
+            await self.writer.put(records)
+        except StoreFailed:
+            self.counts["writes_failed"] += 1
+            return False
+        return True
+
+    @property
+    def sent_bytes(self) -> int:
+        """What was sent to other members so far, as questions."""
+        return sum(link.sent_bytes for link in self._links.values())
+
+    @property
+    def new(self) -> bool:
+        """Whether this store was made by this start, and nobody was there who could have known more."""
+        return self._new_until > trio.current_time()
+
+    async def _load(self) -> None:
+        """Read the store, again and again until that can be done: the rest of the program goes on without."""
+        while True:
+            try:
+                self.take_in(await trio.to_thread.run_sync(self.read_store))
+                return
+            except StoreDamaged as error:
+                log.error("store.damaged", why=error, kept_as=self.disk.put_aside())
+            except StoreFailed as error:
+                self.holder.doubted = self.writer.broken = str(error)
+                log.error("store.cannot_open", why=error)
+                await trio.sleep(AGAIN_S)
+
+    def read_store(self) -> Stored:
+        """Open the store and read it all; blocks, and changes nothing of the holder."""
+        self.disk.open()
+        now = now_ms()
+        self.disk.drop_expired(now)
+        told = Stored("the store is new" if self.disk.fresh else "")
+        for record in self.disk.read(now):
+            if isinstance(record, Spoilt):
+                told.spoilt += 1
+                told.doubted = "a record is spoilt"
+                log.error("store.spoilt", path=self.told.path, kind=record.kind, key=record.key[:64])
+                told.entries.append((record.key.decode(errors="replace"), Entry(UNKNOWN_TOKEN, int(now))))
+            elif record.kind == KIND and record.value is not None:
+                try:
+                    entry: Entry = msgspec.msgpack.decode(record.value, type=Entry)
+                    told.entries.append((record.key.decode(), entry))
+                except (msgspec.MsgspecError, UnicodeDecodeError):
+                    told.doubted = "a record cannot be read"
+            else:
+                told.others.append(record)
+        return told
+
+    def take_in(self, told: Stored) -> None:
+        """Go on with what the store has kept; what was heard meanwhile stays, by the rule for copies."""
+        self.holder.load(told.entries)
+        self.others = told.others
+        self.counts["spoilt"] += told.spoilt
+        if self.disk.fresh:
+            self._new_until = math.inf
+        self.holder.doubted, self.writer.broken = told.doubted, ""
+        log.info("ledger.loaded", path=self.told.path, entries=len(told.entries),
+                 doubted=told.doubted or "no")
+
+    # Running
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; raise OSError where the address cannot be had."""
+        try:
+            async with trio.open_nursery() as self._nursery:
+                listeners = await trio.open_tcp_listeners(self.told.listen[1], host=self.told.listen[0])
+                self.port = listeners[0].socket.getsockname()[1]
+                log.info("listening", name=self.told.member, front="ledger", host=self.told.listen[0],
+                         port=self.port, holders=len(self.told.holders))
+                self._nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+                task_status.started()
+                await self._load()
+                self._nursery.start_soon(self.writer.run)
+                self.loaded.set()
+                await self._exchange_all()
+                await trio.sleep_forever()
+        finally:
+            self.disk.close()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        """Answer one member's questions; whatever is wrong with it ends its connection alone."""
+        if self._clients >= CLIENTS_MOST:
+            self.counts["turned_away"] += 1
+            return await trio.aclose_forcefully(stream)
+        self._clients += 1
+        reader, room, member = Reader(), trio.Semaphore(AT_ONCE), ""
+        try:
+            no_delay(stream)
+            async with stream, trio.open_nursery() as nursery:
+                sending = trio.Lock()
+                while True:
+                    with trio.move_on_after(math.inf if member else GREET_S) as late:
+                        chunk = await stream.receive_some(READ_BYTES)
+                    if late.cancelled_caught or not chunk:
+                        break
+                    for frame in reader.take(chunk):
+                        if not member:
+                            member = self._greeted(frame)
+                            continue
+                        await room.acquire()
+                        decided = self._decide(member, frame)
+                        nursery.start_soon(self._answer, decided, stream, sending, room)
+                nursery.cancel_scope.cancel()
+        except* Malformed:
+            self.counts["malformed"] += 1
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except* Exception:
+            self.counts["broke"] += 1
+            log.exception("ledger.broke")
+        finally:
+            self._clients -= 1
+
+    def _greeted(self, frame: Frame) -> str:
+        if not isinstance(frame, Hello):
+            raise Malformed("no greeting")
+        if frame.cluster != self.told.cluster or frame.member not in self.told.holders:
+            self.counts["foreign"] += 1
+            raise Malformed("a stranger")
+        return frame.member
+
+    async def _answer(self, decided: Decided, stream: trio.SocketStream, sending: trio.Lock,
+                      room: trio.Semaphore) -> None:
+        try:
+            answer = await self._told(decided)
+            async with sending:
+                await stream.send_all(encode(answer))
+        finally:
+            room.release()
+
+    async def _ask(self, holder: str, question: Callable[[int], Ask], kind: type[T]) -> T:
+        """Ask a holder, this member itself among them."""
+        if holder == self.told.member:
+            told = await self._told(self._decide(holder, question(0)))
+            assert isinstance(told, kind)
+            return told
+        try:
+            return await self._links[holder].ask(self._nursery_of(), question, kind)
+        except Lost:
+            self.counts["lost"] += 1
+            raise
+
+    # Exchange
+
+    async def _exchange_all(self) -> None:
+        """Recover a memory in doubt, then compare with one member after the other, for good."""
+        until = trio.current_time() + self.told.repeat_ms / 1000.0
+        while self.holder.doubted:
+            if await self._recover() or trio.current_time() >= until:
+                log.info("ledger.recovered", entries=len(self.holder.entries), was=self.holder.doubted)
+                self.holder.doubted = ""
+                break
+            await trio.sleep(self._random.uniform(0.3, 0.7))
+        while self._links:
+            for name in self._random.sample(sorted(self._links), len(self._links)):
+                await self._forget()
+                await trio.sleep(self.told.exchange_ms * self._random.uniform(0.8, 1.2) / 1000.0)
+                with trio.move_on_after(max(30.0, self.told.exchange_ms / 1000.0)):
+                    await self._exchange(name)
+
+    async def _forget(self) -> None:
+        """Take what has expired off the disk too."""
+        self.holder.expire(now_ms())
+        gone, self.holder.gone = self.holder.gone, []
+        if gone and not await self._put([Record(KIND, key.encode(), None) for key in gone]):
+            self.holder.gone = gone  # at the next turn, then
+
+    async def _recover(self) -> bool:
+        """Take in all that every other holder knows, grants too; False where that is not all there was.
+
+        A grant that was lost here may have been counted in a majority with any one of them: each must be
+        heard, and none may be in doubt itself, unless all stores are new, which is a fleet's first start.
+        """
+        doubted, new = list[bool](), [self.new]
+        with trio.move_on_after(RECOVER_S) as limit:
+            try:
+                for name in self._links:
+                    for which in range(len(self.holder.ranges)):
+                        async for page, _ in self._pages(name, which, grants=True):
+                            if which == 0:
+                                doubted.append(page.doubted)
+                                new.append(page.new)
+            except Lost:
+                return False
+        if limit.cancelled_caught or (any(doubted) and not all(new)):
+            return False
+        self._new_until = trio.current_time() + FIRST_START_S if all(new) else -math.inf
+        return True
+
+    async def _exchange(self, name: str) -> None:
+        """Take in from a member what it has settled and this one has not."""
+        try:
+            told = (await self._ask(name, lambda number: AskDigests(number), Digests)).told
+            self.holder.expire(now_ms())
+            mine = self.holder.digests[name]
+            differ = [which for which, digest in enumerate(told) if digest != mine[which]]
+            self.behind[name] = len(differ)
+            taken = 0
+            for which in differ:
+                async for _, count in self._pages(name, which, grants=False):
+                    taken += count
+        except Lost:
+            return
+        self.counts["exchanges"] += 1
+        if taken:
+            self.counts["caught_up"] += taken
+            log.info("ledger.caught_up", member=name, entries=taken, ranges=len(differ))
+
+    async def _pages(self, name: str, which: int, *, grants: bool) -> AsyncIterator[tuple[Page, int]]:
+        """Take a range's pages in, bounded in bytes a second; yield each, and how many entries changed."""
+        after, more = "", True
+        while more:
+            page = await self._ask(
+                name, lambda number: AskRange(number, which, after, grants), Page)  # noqa: B023
+            changed = [(key, entry) for key, theirs in page.entries
+                       if self._holds(key) and (entry := self.holder.take(key, theirs)) is not None]
+            if changed and not await self._put([self._record(key, entry) for key, entry in changed]):
+                raise Lost("the store cannot be written")
+            yield page, len(changed)
+            after, more = page.entries[-1][0] if page.entries else "", page.more and bool(page.entries)
+            size = sum(weight(key, entry) for key, entry in page.entries)
+            await trio.sleep(size / self.told.bytes_per_s)
+
+    def _holds(self, key: str) -> bool:
+        return self.told.member in holders_of(key, self.told.holders, self.told.replicas)
+
+
+def _host_of(told: Ledger) -> str:
+    """Connections go out from the host that is listened on, unless that is any."""
+    host = told.listen[0]
+    return "" if host in ("0.0.0.0", "::", "") else host
+
+
+@asynccontextmanager
+async def running(told: Ledger, seed: int) -> AsyncIterator[Service]:
+    """Run a ledger for the length of a block."""
+    service = Service(told, seed)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(service.run)
+        yield service
+        nursery.cancel_scope.cancel()
--- a/fordstair/settings/faults.py
+++ b/fordstair/settings/faults.py
@@ -158,6 +158,21 @@
         if seed.endswith(":0"):
             yield Fault(f"fleet.seeds.{index}", "port 0 cannot be reached")
     yield from _twice("fleet", "seeds", list(fleet.seeds), flat=True)
+    if (ledger := fleet.ledger) is not None:
+        own = fleet.member or (file.site.name if file.site is not None else "")
+        if own and own not in ledger.holders:
+            yield Fault("fleet.ledger.holders", f"does not name this member, {own!r}")
+        for name, address in ledger.holders.items():
+            if int(address.rpartition(":")[2]) > 65_535 or address.endswith(":0"):
+                yield Fault(f"fleet.ledger.holders.{name}", "has a port that cannot be reached")
+        if len(set(ledger.holders.values())) < len(ledger.holders):
+            yield Fault("fleet.ledger.holders", "names one address twice")
+        if not ledger.store.startswith("/"):
+            yield Fault("fleet.ledger.store", "a path from the root is wanted")
+        if ledger.repeat_seconds * 1000.0 < 10.0 * ledger.claim_ms:
+            yield Fault("fleet.ledger.repeat_seconds", "is under ten times claim_ms")
+        if file.odata is None:
+            yield Fault("fleet.ledger", "serves OData alone, which is not set up")
 
 
 def _sets(file: File) -> Iterator[Fault]:
--- a/fordstair/settings/schema.py
+++ b/fordstair/settings/schema.py
@@ -151,6 +151,20 @@
     engines: list[str] = []
 
 
+class LedgerTable(Table, frozen=True, kw_only=True):
+    """The ledger of loads under a repeat id, shared by the fleet; without it each coordinator has its own."""
+
+    listen: Address  # TCP
+    store: Annotated[str, Meta(min_length=1, max_length=512)]  # a file on a disk that outlives the program
+    holders: Annotated[dict[Name, Address], Meta(min_length=1, max_length=64)]  # by member
+    replicas: Annotated[int, Meta(ge=1, le=7)] = 3  # holders of each key
+    claim_ms: Annotated[float, Meta(ge=10.0, le=60_000.0)] = 1_000.0
+    repeat_seconds: Annotated[float, Meta(ge=10.0, le=86_400.0)] = 600.0  # that a load is remembered
+    exchange_ms: Annotated[float, Meta(ge=50.0, le=600_000.0)] = 5_000.0
+    kilobytes_per_s: Annotated[float, Meta(ge=1.0, le=1e6)] = 1_000.0  # that an exchange may bring
+    entries_most: Annotated[int, Meta(ge=100, le=1_000_000)] = 50_000
+
+
 class FleetTable(Table, frozen=True, kw_only=True):
     """Membership among coordinators; off without this table."""
 
@@ -167,6 +181,7 @@
     sync_ms: Annotated[float, Meta(ge=100.0, le=600_000.0)] = 10_000.0  # between full exchanges
     forget_seconds: Annotated[float, Meta(ge=10.0, le=604_800.0)] = 3_600.0  # dead members are kept so long
     members_most: Annotated[int, Meta(ge=2, le=5_000)] = 2_000
+    ledger: LedgerTable | None = None
 
 
 class ConsoleTable(Table, frozen=True, kw_only=True):
--- a/fordstair/settings/site.py
+++ b/fordstair/settings/site.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from fordstair.membership.swim import Fleet
+    from fordstair.replication.service import Ledger
 
 LARGEST_FILE = 1024 * 1024
 OPERATOR_LISTEN = "127.0.0.1:0"
@@ -114,7 +115,7 @@
             "teams": dict(file.identity.teams), "engines": list(file.identity.engines)},
         console=file.console.socket if file.console is not None else "",
         watchers=file.console.watchers if file.console is not None else 0,
-        fleet=_fleet(file),
+        fleet=_fleet(file), ledger=_ledger(file),
         fleet_listen=address(file.fleet.listen, "fleet.listen") if file.fleet is not None else ("", 0))
 
 
@@ -131,6 +132,17 @@
                  told.forget_seconds * 1000.0, told.members_most)
 
 
+def _ledger(file: File) -> Ledger | None:
+    if file.fleet is None or (told := file.fleet.ledger) is None:
+        return None
+    from fordstair.replication.service import Ledger
+
+    name = file.fleet.member or (file.site.name if file.site is not None else "")
+    return Ledger(file.fleet.cluster, name, dict(told.holders), address(told.listen, "fleet.ledger.listen"),
+                  told.store, told.replicas, told.claim_ms, told.repeat_seconds * 1000.0, told.exchange_ms,
+                  told.kilobytes_per_s * 1000.0, told.entries_most)
+
+
 def _budgets(file: File) -> Budgets | None:
     if (told := file.budgets) is None:
         return None
--- /dev/null
+++ b/tests/test_ledger_processes.py
@@ -0,0 +1,133 @@
+"""The ledger among running programs: kill -9, partitions, a lost store; every history is checked."""
+
+from __future__ import annotations
+
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import trio
+
+from fordstair.lab.history import check
+from fordstair.lab.ledger_trial import Trial, kills, partitions, trial
+from fordstair.replication.service import SETTLE_S
+from tests.standins import config, engine, program
+
+
+def play(scene: Callable[[Path], Awaitable[None]], within_s: float = 110.0) -> None:
+    """Run a scene in a folder of its own, bounded in time."""
+    async def bounded() -> None:
+        with trio.fail_after(within_s), tempfile.TemporaryDirectory(prefix="led") as folder:
+            await scene(Path(folder))
+
+    trio.run(bounded)
+
+
+async def kept(one: Trial, ids: list[str]) -> None:
+    """All promises were kept, and something was put to the test."""
+    copies = await one.settle_down(ids)
+    assert check(one.operations, one.runs, copies) == []
+    assert sum(one.runs[id] for id in ids) >= 0.5 * len(ids)
+    assert any(len(told) > 1 for told in copies.values())
+
+
+def test_a_load_sent_through_all_members_at_once_runs_once_and_all_tell_its_answer() -> None:
+    async def scene(folder: Path) -> None:
+        async with trial(folder, seed=11) as one:
+            ids = [one.new_id() for _ in range(20)]
+            async with trio.open_nursery() as nursery:
+                for id in ids:
+                    for name in one.names:
+                        nursery.start_soon(one.load, name, id)
+            await kept(one, ids)
+            final = [each for each in one.operations if each.final]
+            assert len(final) == 60 and all(each.how == "ok" for each in final)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("seed", [21, 22])
+def test_members_killed_at_random_moments_run_no_load_twice_and_lose_no_claim(seed: int) -> None:
+    async def scene(folder: Path) -> None:
+        async with trial(folder, seed=seed) as one:
+            await kept(one, await kills(one, 8))
+
+    play(scene)
+
+
+def test_partitions_with_the_same_ids_on_both_sides_run_no_load_twice() -> None:
+    async def scene(folder: Path) -> None:
+        async with trial(folder, count=5, seed=31) as one:
+            await kept(one, await partitions(one, 6))
+
+    play(scene)
+
+
+def test_a_member_that_lost_its_store_grants_nothing_until_it_has_heard_all_others() -> None:
+    async def scene(folder: Path) -> None:
+        async with trial(folder, seed=41) as one:
+            ids = [one.new_id() for _ in range(10)]
+            for id in ids:
+                assert await one.load("m0", id) == "ok"
+            one.kill("m1")
+            for path in folder.glob("m1.ledger*"):
+                path.unlink()
+            one.relay.part({"m1"}, {"m2"})
+            await one.start("m1")
+            one.relay.part({"m0"}, {"m1", "m2"})  # with m2 alone it would be a majority without m0's memory
+            fresh = [one.new_id() for _ in range(3)]
+            one.relay.heal()
+            one.relay.part({"m0"}, {"m1", "m2"})
+            for id in fresh:
+                assert await one.load("m1", id) != "ok"
+            one.relay.heal()
+            await one.until_granting()
+            await kept(one, ids + fresh)
+
+    play(scene)
+
+
+def test_a_member_back_after_a_while_catches_up_on_what_it_missed() -> None:
+    async def scene(folder: Path) -> None:
+        async with trial(folder, seed=51) as one:
+            one.kill("m2")
+            ids = [one.new_id() for _ in range(60)]
+            for id in ids:
+                assert await one.load("m0", id) == "ok"
+            await trio.sleep(SETTLE_S + 0.5)  # so that nobody tells it any more of its own accord
+            await one.start("m2")
+            with trio.fail_after(20.0):
+                while not any("ledger.caught_up" in path.read_text() for path in folder.glob("m2.*.log")):
+                    await trio.sleep(0.1)
+            await kept(one, ids)
+
+    play(scene)
+
+
+def test_a_coordinator_started_with_its_register_down_serves_from_its_store() -> None:
+    async def scene(folder: Path) -> None:
+        operator = folder / "operator.toml"
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            listen = f"127.0.0.1:{probe.getsockname()[1]}"
+        operator.write_text(
+            f'[odata]\nlisten = "127.0.0.1:0"\n'
+            f'[fleet]\ncluster = "c"\nmember = "n0"\nlisten = "127.0.0.1:0"\n'
+            f'[fleet.ledger]\nlisten = "{listen}"\nstore = "{folder}/store"\n'
+            f'holders = {{ n0 = "{listen}" }}\n')
+        async with engine() as one:
+            for told in (config(one.address), config()):  # the second start is told of no engine, by nobody
+                async with program(told, "--operator", str(operator), fronts=4) as node:
+                    client = await node.client()
+                    with trio.fail_after(10.0):
+                        while (await client.answer(await client.ask()))[0] is not None:
+                            await trio.sleep(0.1)
+                    if told["known"]["cmds"][0]["nodes"]["servers"]:
+                        await trio.sleep(0.5)  # until it is on disk
+                    node.process.kill()
+            assert one.calls["POST"] >= 2
+            assert any("engines.restored" in line for line in node.log)
+
+    play(scene)
