Share what was learned of costs: last writer wins by a hybrid logical clock, kept on disk

Need: a coordinator that starts anew knows nothing of costs, and each of forty learns them by itself. Change: replication/clock.py (Kulkarni et al. 2014, section 4), registers.py (a map that converges, with digests by range and no tombstones), costs.py (between it and the decision module, by names of classes and groups); exchanged with the ledger and kept in its store. Taken over only where the module has learned too little of its own.

--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -38,6 +38,7 @@
 SPARE_SOCKETS = 40  # the listeners, the channel, the console, standard streams and some room
 # Usual clients hold at most a third of the sockets; the rest is for those that must be told so first.
 CLIENTS_PART = 0.4
+SHARE_MS = 5_000.0  # between two looks at what was learned of costs
 KEEP_MS = 5_000.0  # between two notes on disk that the register was heard
 STATEMENTS_PART, SMALLEST_BOUND = 0.125, 16 * 1024
 
@@ -143,6 +144,25 @@
             with self.deadlines.limit(self.deadlines.clock() + KEEP_MS):
                 await self.listed.wait()
 
+    async def share_costs(self, ledger: Service) -> None:
+        """Take over what others, or an earlier life, have learned of costs, and tell what is learned here."""
+        from fordstair.replication.costs import is_news, learned, restore
+
+        gateway = self.coordinator.gateway
+
+        def take_over() -> None:
+            if taken := restore(gateway, {key: each.value for key, each in ledger.values.values.items()}):
+                log.info("costs.taken_over", values=taken)
+
+        await ledger.loaded.wait()
+        ledger.on_values = take_over
+        take_over()
+        while True:
+            await self.deadlines.sleep(SHARE_MS)
+            values, known = list(learned(gateway)), ledger.values.values
+            await ledger.set_values([(key, value) for key, value in values if is_news(
+                known[key].value if key in known else None, value)])
+
     async def run(self) -> None:
         """Run until SIGTERM, or the console's drain, has been followed by the last answer."""
         for _, kind, engines in self.config.known:
@@ -187,6 +207,7 @@
         except OSError as error:
             raise ConfigError(f"fleet.ledger: {error}") from None
         nursery.start_soon(self.keep_engines, ledger)
+        nursery.start_soon(self.share_costs, ledger)
 
     async def serve_odata(self, stream: trio.SocketStream) -> None:
         """Serve an OData client, after its handshake where there are identities."""
--- a/fordstair/replication/ledger.py
+++ b/fordstair/replication/ledger.py
@@ -13,10 +13,10 @@
 from hashlib import blake2b
 
 from msgspec import Struct
-from sortedcontainers import SortedDict
+
+from fordstair.replication.ranges import RANGES, Ranges, digest_of, range_of
 
 REPLICAS = 3  # holders of a key
-RANGES = 64  # of keys, whose digests are compared
 OUTCOME_MOST = 16 * 1024  # bytes of an answer that is kept
 UNKNOWN_TOKEN = "?"  # of a grant that cannot be read any more: given to somebody, and never released
 
@@ -74,7 +74,7 @@
         self.own, self.members, self.replicas = own, tuple(members), replicas
         self.repeat_ms, self.most = repeat_ms, most
         self.entries: dict[str, Entry] = {}  # oldest first, but for copies: they are kept up to twice as long
-        self.ranges: list[SortedDict[str, Entry]] = [SortedDict() for _ in range(RANGES)]
+        self.ranges: Ranges[Entry] = Ranges()
         self.digests = {name: [0] * RANGES for name in self.members if name != own}
         self.gone: list[str] = []  # forgotten, and still on disk
         self.doubted = ""  # why this holder may not grant; empty: it may
@@ -131,33 +131,26 @@
     def page(self, which: int, after: str, most_bytes: int, *,
              grants: bool) -> tuple[list[tuple[str, Entry]], bool]:
         """Return entries of a range after a key, up to a size, and whether others follow."""
-        page, size = list[tuple[str, Entry]](), 0
-        for key in self.ranges[which].irange(minimum=after, inclusive=(False, True)):
-            entry = self.entries[key]
-            if entry.outcome is None and not grants:
-                continue
-            if page and size > most_bytes:
-                return page, True
-            page.append((key, entry))
-            size += weight(key, entry)
-        return page, False
+        return self.ranges.page(which, after, most_bytes, lambda key, entry: (
+            weight(key, entry) if grants or entry.outcome is not None else None))
 
     def _put(self, key: str, entry: Entry) -> None:
         self._mark(key)
-        self.entries[key] = self.ranges[range_of(key)][key] = entry
+        self.entries[key] = entry
+        self.ranges.put(key, entry)
         self._mark(key)
 
     def _drop(self, key: str) -> None:
         self._mark(key)
-        del self.entries[key], self.ranges[range_of(key)][key]
+        del self.entries[key]
+        self.ranges.drop(key)
 
     def _mark(self, key: str) -> None:
         """Put a settled entry into the digests, or take it out: the same step."""
         entry = self.entries.get(key)
         if entry is None or entry.outcome is None:
             return
-        text = b"%b|%b|%b" % (key.encode(), entry.token.encode(), entry.outcome)
-        digest = int.from_bytes(blake2b(text, digest_size=7).digest(), "big")
+        digest = digest_of(key.encode(), entry.token.encode(), entry.outcome)
         for name in holders_of(key, self.members, self.replicas):
             if name != self.own:
                 self.digests[name][range_of(key)] ^= digest
@@ -215,11 +208,6 @@
     return tuple(sorted(members, key=weight)[:replicas])
 
 
-def range_of(key: str) -> int:
-    """Return the range of keys that a key belongs to, for exchange."""
-    return blake2b(key.encode(), digest_size=1).digest()[0] % RANGES
-
-
 def weight(key: str, entry: Entry) -> int:
     """Return about how many bytes an entry takes on its way."""
     return len(key) + len(entry.token) + len(entry.outcome or b"") + 32
--- a/fordstair/replication/messages.py
+++ b/fordstair/replication/messages.py
@@ -8,7 +8,9 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from fordstair.replication.ledger import OUTCOME_MOST, RANGES, Entry
+from fordstair.replication.ledger import OUTCOME_MOST, Entry
+from fordstair.replication.ranges import RANGES
+from fordstair.replication.registers import Register
 
 LARGEST_FRAME = 256 * 1024
 PAGE_BYTES = 64 * 1024
@@ -65,6 +67,17 @@
     grants: bool
 
 
+class AskValueDigests(_Frame, frozen=True, tag=6):
+    """The digests of the values that converge, by range."""
+
+
+class AskValues(_Frame, frozen=True, tag=7):
+    """A page of a range's values after a key."""
+
+    which: Range
+    after: Annotated[str, Meta(max_length=512)]
+
+
 class Said(_Frame, frozen=True, tag=16):
     """A holder's word on a claim."""
 
@@ -94,8 +107,15 @@
     new: bool  # its store was made by its start, on a fleet's first day as far as it knows
 
 
-Ask: TypeAlias = AskClaim | AskRelease | AskSettle | AskDigests | AskRange
-Told: TypeAlias = Said | Done | Digests | Page
+class Values(_Frame, frozen=True, tag=20):
+    """Values by key, in order; ``more`` where others follow."""
+
+    values: Annotated[list[tuple[Text, Register]], Meta(max_length=8_192)]
+    more: bool
+
+
+Ask: TypeAlias = (AskClaim | AskRelease | AskSettle | AskDigests | AskRange | AskValueDigests | AskValues)
+Told: TypeAlias = Said | Done | Digests | Page | Values
 Frame: TypeAlias = Hello | Ask | Told
 
 
--- a/fordstair/replication/service.py
+++ b/fordstair/replication/service.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -38,6 +38,8 @@
     AskRange,
     AskRelease,
     AskSettle,
+    AskValueDigests,
+    AskValues,
     Digests,
     Done,
     Frame,
@@ -47,8 +49,11 @@
     Reader,
     Said,
     Told,
+    Values,
     encode,
 )
+from fordstair.replication.ranges import RANGES
+from fordstair.replication.registers import Register, Registers
 from fordstair.store.disk import Disk, Record, Spoilt, StoreDamaged, StoreFailed
 from fordstair.store.writer import Batch, Writer
 
@@ -56,7 +61,8 @@
 
 T = TypeVar("T", bound=Told)
 
-KIND = "claim"
+KIND, VALUE_KIND = "claim", "value"
+VALUES_KEPT_MS, VALUES_MOST = 7 * 86_400_000.0, 5_000  # since they were set; a module learns some hundred
 CLIENTS_MOST = 256
 AT_ONCE = 64  # questions of one member that are worked on at a time; more wait on its connection
 SETTLE_S = 5.0  # in which holders are told of an outcome; those that do not hear it get it by exchange
@@ -110,6 +116,7 @@
     doubted: str  # why it may not be all that was granted; empty: it is
     spoilt: int = 0
     entries: list[tuple[str, Entry]] = field(default_factory=list)
+    values: list[tuple[str, Register]] = field(default_factory=list)
     others: list[Record] = field(default_factory=list)  # of other kinds
 
 
@@ -121,6 +128,8 @@
         self.counts: Counter[str] = Counter()
         self.holder = Holder(told.member, told.holders, told.replicas, told.repeat_ms, told.entries_most)
         self.holder.doubted = "the store is not read yet"
+        self.values = Registers(told.member, VALUES_KEPT_MS, VALUES_MOST)
+        self.on_values: Callable[[], None] = lambda: None  # called when values of others were taken in
         self.disk = Disk(told.path)
         self.writer = Writer(self.disk)
         self.writer.broken = self.holder.doubted
@@ -244,6 +253,11 @@
             case AskRange(number, which, after, grants):
                 page, more = holder.page(which, after, PAGE_BYTES, grants=grants)
                 return Decided(Page(number, page, more, bool(holder.doubted), self.new))
+            case AskValueDigests(number):
+                self.values.expire(now_ms())
+                return Decided(Digests(number, list(self.values.digests)))
+            case AskValues(number, which, after):
+                return Decided(Values(number, *self.values.page(which, after, PAGE_BYTES)))
         raise Malformed("no question")
 
     def _decided(self, ok: Told, failed: Told, key: str, entry: Entry | None) -> Decided:
@@ -322,6 +336,10 @@
                     told.entries.append((record.key.decode(), entry))
                 except (msgspec.MsgspecError, UnicodeDecodeError):
                     told.doubted = "a record cannot be read"
+            elif record.kind == VALUE_KIND and record.value is not None:
+                with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
+                    value: Register = msgspec.msgpack.decode(record.value, type=Register)
+                    told.values.append((record.key.decode(), value))
             else:
                 told.others.append(record)
         return told
@@ -329,6 +347,8 @@
     def take_in(self, told: Stored) -> None:
         """Go on with what the store has kept; what was heard meanwhile stays, by the rule for copies."""
         self.holder.load(told.entries)
+        for key, value in told.values:
+            self.values.take(now_ms(), key, value)
         self.others = told.others
         self.counts["spoilt"] += told.spoilt
         if self.disk.fresh:
@@ -441,9 +461,42 @@
     async def _forget(self) -> None:
         """Take what has expired off the disk too."""
         self.holder.expire(now_ms())
-        gone, self.holder.gone = self.holder.gone, []
-        if gone and not await self._put([Record(KIND, key.encode(), None) for key in gone]):
-            self.holder.gone = gone  # at the next turn, then
+        self.values.expire(now_ms())
+        for kind, part in ((KIND, self.holder), (VALUE_KIND, self.values)):
+            gone, part.gone = part.gone, []
+            if gone and not await self._put([Record(kind, key.encode(), None) for key in gone]):
+                part.gone = gone  # at the next turn, then
+
+    # Values that converge
+
+    async def set_values(self, values: Iterable[tuple[str, bytes]]) -> None:
+        """Set values here and now; others get them by exchange. What cannot be written stays in memory."""
+        now = now_ms()
+        await self._keep([(key, done) for key, value in values
+                          if (done := self.values.set(now, key, value)) is not None])
+
+    async def _keep(self, changed: Sequence[tuple[str, Register]]) -> None:
+        if changed:
+            await self._put([Record(VALUE_KIND, key.encode(), msgspec.msgpack.encode(each),
+                                    int(each.stamp.ms + VALUES_KEPT_MS)) for key, each in changed])
+
+    async def _exchange_values(self, name: str) -> None:
+        """Take in from a member what was set later than what is known here."""
+        told = (await self._ask(name, lambda number: AskValueDigests(number), Digests)).told
+        mine, taken = list(self.values.digests), 0
+        for which in [which for which, digest in enumerate(told) if digest != mine[which]]:
+            after, more = "", True
+            while more:
+                page = await self._ask(
+                    name, lambda number: AskValues(number, which, after), Values)  # noqa: B023
+                changed = [(key, value) for key, theirs in page.values
+                           if (value := self.values.take(now_ms(), key, theirs)) is not None]
+                await self._keep(changed)
+                taken += len(changed)
+                after, more = page.values[-1][0] if page.values else "", page.more and bool(page.values)
+        if taken:
+            self.counts["values_taken"] += taken
+            self.on_values()
 
     async def _recover(self) -> bool:
         """Take in all that every other holder knows, grants too; False where that is not all there was.
@@ -455,7 +508,7 @@
         with trio.move_on_after(RECOVER_S) as limit:
             try:
                 for name in self._links:
-                    for which in range(len(self.holder.ranges)):
+                    for which in range(RANGES):
                         async for page, _ in self._pages(name, which, grants=True):
                             if which == 0:
                                 doubted.append(page.doubted)
@@ -479,6 +532,7 @@
             for which in differ:
                 async for _, count in self._pages(name, which, grants=False):
                     taken += count
+            await self._exchange_values(name)
         except Lost:
             return
         self.counts["exchanges"] += 1
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -19,6 +19,8 @@
 from hypothesis import strategies as st
 
 from fordstair.lab.history import Operation, check
+from fordstair.replication.clock import HybridClock, Stamp
+from fordstair.replication.costs import is_news, learned, restore
 from fordstair.replication.ledger import (
     UNKNOWN_TOKEN,
     Answer,
@@ -31,8 +33,12 @@
     merge,
 )
 from fordstair.replication.messages import AskClaim, Hello, Malformed, Reader, Said, encode
+from fordstair.replication.ranges import RANGES
+from fordstair.replication.registers import Register, Registers, newer
 from fordstair.replication.service import Ledger, Service, running
 from fordstair.store.disk import Disk, Record, Spoilt, StoreFailed
+from tests.helpers import Rig
+from tests.helpers import settings as settings_of
 from tests.standins import ROOT
 
 FIXED = settings(max_examples=150, deadline=None, derandomize=True, database=None)
@@ -147,7 +153,7 @@
     other.take(shared[1], Entry("Z", 1, b"different"))
     assert one.digests["h1"] != other.digests["h0"]
     one.expire(1e9)
-    assert not one.entries and not any(map(any, one.digests.values())) and not any(map(len, one.ranges))
+    assert not one.entries and not any(map(any, one.digests.values())) and not len(one.ranges)
 
 
 def test_a_full_or_doubted_holder_grants_nothing_and_still_tells_what_it_knows() -> None:
@@ -170,7 +176,7 @@
             one.settle(1.0, f"k{number}", "t", b"x" * 100)
     for grants in (False, True):
         seen = list[str]()
-        for which in range(len(one.ranges)):
+        for which in range(RANGES):
             after, more = "", True
             while more:
                 page, more = one.page(which, after, 500, grants=grants)
@@ -347,3 +353,66 @@
                          (check([did("a", "ok"), did("a", "fail", 5.0, True)], {"a": 1}, {}), "run it again"),
                          (check([], {}, {"a": {"m": b"x", "n": b"y"}}), "copies differ")):
         assert len(broken) == 1 and word in broken[0]
+
+
+# Values that converge
+
+stamps = st.builds(Stamp, st.integers(1_000, 1_003), st.integers(0, 2), st.sampled_from(["a", "b"]))
+registers = st.one_of(st.none(), st.builds(Register, st.sampled_from([b"x", b"y"]), stamps))
+
+
+@FIXED
+@given(registers, registers, registers)
+def test_the_newer_value_is_a_join(a: Register | None, b: Register | None, c: Register | None) -> None:
+    assert newer(a, b) == newer(b, a) and newer(a, a) == a
+    assert newer(a, newer(b, c)) == newer(newer(a, b), c)
+
+
+@FIXED
+@given(st.integers(0, 2**32))
+def test_members_that_heard_the_same_hold_the_same_in_whatever_order(seed: int) -> None:
+    rng = random.Random(seed)
+    members = [Registers(name, 1e9, 100) for name in "abc"]
+    written = [(key, done) for n in range(30)
+               if (done := rng.choice(members).set(1e6 + rng.randrange(50), key := f"k{rng.randrange(5)}",
+                                                   b"%d" % n)) is not None]
+    for member in members:
+        for key, value in rng.sample(written * 2, 2 * len(written)):
+            member.take(1e6 + 100, key, value)
+    assert members[0].values == members[1].values == members[2].values
+    assert members[0].digests == members[1].digests == members[2].digests
+    for member in members:
+        member.expire(1e6 + 2e9)
+        assert not member.values and not any(member.digests) and member.gone
+
+
+def test_a_hybrid_clock_goes_above_what_it_hears_and_believes_no_far_future() -> None:
+    clock = HybridClock("a")
+    first = clock.stamp(1_000.0)
+    assert clock.stamp(1_000.0) > first and clock.stamp(900.0) > first  # the wall clock has gone back
+    assert clock.hear(Stamp(5_000, 7, "b"), 1_000.0)
+    assert clock.stamp(1_001.0) > Stamp(5_000, 7, "b")
+    assert not clock.hear(Stamp(10_000_000, 0, "b"), 1_000.0)
+    assert clock.stamp(6_000.0) == Stamp(6_000, 0, "a")
+    full = Registers("a", 1e9, 1)
+    full.set(1.0, "k", b"x")
+    assert full.set(1.0, "l", b"x") is None and full.refused == 1
+
+
+def test_costs_learned_by_one_module_serve_another_that_has_seen_nothing() -> None:
+    rig = Rig(settings_of(instances=2))
+    for _ in range(20):
+        request = rig.ask(0, 0.0, group=7.0)
+        rig.end(request, work_ms=340.0, latency=400.0, memory_mb=50.0)
+    values = dict(learned(rig.gateway))
+    assert "class|quick|mean" in values and "group|quick|7" in values
+    new = Rig(settings_of(instances=2))
+    assert restore(new.gateway, values | {"class|unknown|mean": values["class|quick|mean"], "noise": b"\xc1",
+                                          "group|quick|nan": values["class|quick|mean"]}) == len(values)
+    assert new.gateway.cache.forecast(0, 7.0, 0.0) == pytest.approx(340.0, rel=0.02)
+    assert restore(new.gateway, values) == 0  # what it has goes first
+    request = new.ask(0, 0.0, group=7.0)
+    new.end(request, work_ms=3_400.0, latency=400.0)
+    assert new.gateway.cache.mean(0) > 400.0  # and what it sees counts at once
+    old, other = values["class|quick|mean"], values["class|quick|memory"]
+    assert not is_news(old, old) and is_news(old, other) and is_news(None, old) and not is_news(None, b"\xc1")
--- a/tests/test_ledger_processes.py
+++ b/tests/test_ledger_processes.py
@@ -106,6 +106,26 @@
     play(scene)
 
 
+def test_what_one_member_learned_of_costs_serves_the_others_and_its_own_next_life() -> None:
+    async def scene(folder: Path) -> None:
+        async with trial(folder, seed=61) as one:
+            for _ in range(12):
+                assert await one.load("m0", one.new_id()) == "ok"
+
+            async def taken_over(*logs: str) -> None:
+                with trio.fail_after(25.0):
+                    while not all("costs.taken_over" in (folder / log).read_text() for log in logs):
+                        await trio.sleep(0.1)
+
+            await taken_over("m1.1.log", "m2.1.log")
+            one.kill("m0")
+            one.relay.part({"m0"}, {"m1", "m2"})  # it has its own store alone
+            await one.start("m0")
+            await taken_over("m0.2.log")
+
+    play(scene)
+
+
 def test_a_coordinator_started_with_its_register_down_serves_from_its_store() -> None:
     async def scene(folder: Path) -> None:
         operator = folder / "operator.toml"
