Bound what peers say of the ledger's times and guard its tasks, with settings tests

A copy dated beyond what sqlite holds would have ended the writer's task and with it the program, and one dated ahead of all clocks would never have been forgotten; a fault in one exchange would have ended the service.

--- a/fordstair/replication/ledger.py
+++ b/fordstair/replication/ledger.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from fordstair.replication.ranges import RANGES, Ranges, digest_of, range_of
 
@@ -24,9 +25,9 @@
 class Entry(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """What a holder knows of one key: who was granted it, and how it ended, if that is known."""
 
-    token: str  # the claim that has it: claimant, incarnation and number, in one text
-    granted_ms: int  # when this holder granted it, by its own clock
-    outcome: bytes | None = None
+    token: Annotated[str, Meta(min_length=1, max_length=512)]  # the claim: claimant, its start, a number
+    granted_ms: Annotated[int, Meta(ge=0, le=2**53)]  # when this holder granted it, by its own clock
+    outcome: Annotated[bytes, Meta(max_length=OUTCOME_MOST)] | None = None
 
 
 class Word(Enum):
--- a/fordstair/replication/service.py
+++ b/fordstair/replication/service.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -17,6 +17,7 @@
 
 from fordstair.core.clock import now_ms
 from fordstair.core.events import Events
+from fordstair.replication.clock import AHEAD_MOST_MS
 from fordstair.replication.ledger import (
     OUTCOME_MOST,
     UNKNOWN_TOKEN,
@@ -68,6 +69,7 @@
 SETTLE_S = 5.0  # in which holders are told of an outcome; those that do not hear it get it by exchange
 RELEASE_S = 2.0
 AGAIN_S = 1.0  # before a store that cannot be opened is tried again
+EXCHANGE_S = 60.0  # for one exchange; the next one goes on where it was stopped
 GREET_S = 5.0  # in which whoever connects must say who it is
 RECOVER_S = 10.0  # in which all others must have told all
 FIRST_START_S = 60.0  # for which a member of a new fleet tells the others that its store is new as well
@@ -205,11 +207,11 @@
 
     def settle_later(self, begun: Begun, outcome: bytes) -> None:
         """Settle in the background."""
-        self._nursery_of().start_soon(self.settle, begun, outcome)
+        self._nursery_of().start_soon(self._guarded, self.settle, begun, outcome)
 
     def release_later(self, begun: Begun) -> None:
         """Release in the background."""
-        self._nursery_of().start_soon(self.release, begun)
+        self._nursery_of().start_soon(self._guarded, self.release, begun)
 
     async def release(self, begun: Begun) -> None:
         """Give a claim back that has run nothing, and never will."""
@@ -222,6 +224,14 @@
         with contextlib.suppress(Lost):
             await self._ask(holder, lambda number: AskRelease(number, begun.key, begun.token), Done)
 
+    async def _guarded(self, do: Callable[..., Awaitable[None]], *told: object) -> None:
+        """A fault with one member or one claim ends nothing else."""
+        try:
+            await do(*told)
+        except Exception:
+            self.counts["broke"] += 1
+            log.exception("ledger.broke")
+
     def _nursery_of(self) -> trio.Nursery:
         assert self._nursery is not None, "the ledger is not running"
         return self._nursery
@@ -455,8 +465,8 @@
             for name in self._random.sample(sorted(self._links), len(self._links)):
                 await self._forget()
                 await trio.sleep(self.told.exchange_ms * self._random.uniform(0.8, 1.2) / 1000.0)
-                with trio.move_on_after(max(30.0, self.told.exchange_ms / 1000.0)):
-                    await self._exchange(name)
+                with trio.move_on_after(EXCHANGE_S):
+                    await self._guarded(self._exchange, name)
 
     async def _forget(self) -> None:
         """Take what has expired off the disk too."""
@@ -546,8 +556,11 @@
         while more:
             page = await self._ask(
                 name, lambda number: AskRange(number, which, after, grants), Page)  # noqa: B023
+            # what is dated ahead of every clock would never be forgotten
+            latest = now_ms() + AHEAD_MOST_MS
             changed = [(key, entry) for key, theirs in page.entries
-                       if self._holds(key) and (entry := self.holder.take(key, theirs)) is not None]
+                       if theirs.granted_ms < latest and self._holds(key)
+                       and (entry := self.holder.take(key, theirs)) is not None]
             if changed and not await self._put([self._record(key, entry) for key, entry in changed]):
                 raise Lost("the store cannot be written")
             yield page, len(changed)
--- a/fordstair/store/disk.py
+++ b/fordstair/store/disk.py
@@ -103,7 +103,7 @@
                     record.kind, record.key, record.value, record.expires_ms, record.sum))
             db.execute("COMMIT")
             self.commits += 1
-        except sqlite3.Error as error:
+        except (sqlite3.Error, OverflowError) as error:
             if db.in_transaction:
                 try:
                     db.execute("ROLLBACK")
@@ -150,7 +150,7 @@
         Path(self.path + "-shm").unlink(missing_ok=True)
         return kept
 
-    def _failed(self, error: sqlite3.Error) -> StoreFailed:
+    def _failed(self, error: Exception) -> StoreFailed:
         # The library says DatabaseError itself for contents, and a kind of its own for all else.
         kind = StoreDamaged if type(error) is sqlite3.DatabaseError else StoreFailed
         return kind(f"{self.path}: {error}")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -160,3 +160,28 @@
     told = ujson.loads(run("check", "--json", str(bad)).stdout)
     assert {fault["path"] for fault in told["faults"]} >= {"site.listen", "site.hue", "site.name"}
     assert ujson.loads(run("schema").stdout) == json_schema() and run("nonsense").returncode == 2
+
+
+def test_all_faults_of_a_fleet_are_told_at_once_and_a_good_one_is_read() -> None:
+    ledger = {"listen": "10.0.0.4:7947", "store": "ledger", "claim_ms": 5_000.0, "repeat_seconds": 10.0,
+              "holders": {"south": "10.0.0.5:0", "east": "10.0.0.5:0"}}
+    told = {"fleet": {"cluster": "gardens", "member": "north", "listen": "0.0.0.0:7946", "timeout_ms": 800.0,
+                      "seeds": ["10.0.0.5:7946", "10.0.0.6:99999", "10.0.0.5:7946"], "ledger": ledger}}
+    with pytest.raises(Faulty) as caught:
+        read(told, whole=False)
+    assert {fault.path for fault in caught.value.faults} == {
+        "fleet.timeout_ms", "fleet.advertise", "fleet.seeds.1", "fleet.seeds.2", "fleet.ledger.store",
+        "fleet.ledger.holders", "fleet.ledger.holders.south", "fleet.ledger.holders.east",
+        "fleet.ledger.repeat_seconds", "fleet.ledger"}
+    with pytest.raises(Faulty) as caught:
+        read({"fleet": {"cluster": "9", "listen": "nowhere", "probe_ms": 1.0, "unknown": 1}}, whole=False)
+    assert {fault.path for fault in caught.value.faults} == {
+        "fleet.cluster", "fleet.listen", "fleet.probe_ms", "fleet.unknown"}
+    good = read({"odata": {"listen": "127.0.0.1:0"}, "fleet": {
+        "cluster": "gardens", "member": "north", "listen": "10.0.0.4:7946",
+        "ledger": ledger | {"store": "/var/ledger", "repeat_seconds": 600.0, "holders": {
+            "north": "10.0.0.4:7947"}}}}, whole=False)
+    operator = site.operator(good)
+    assert operator.fleet is not None and operator.fleet.address == "10.0.0.4:7946"
+    assert operator.ledger is not None and operator.ledger.holders == {"north": "10.0.0.4:7947"}
+    assert site.operator(read({}, whole=False)).fleet is None
