--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -98,8 +98,8 @@
 
 
 def stalled(members: int, seconds: float, kind: type[Swim], seed: int) -> dict[str, Any]:
-    """A tenth of the members run for 0.2 s and stand still for 1.5 s, over and over: who is held for dead?"""
-    network = Network(seed)
+    """A tenth run for 0.2 s and stand still for 1.5 s, over and over, with 5 % lost: who accuses whom?"""
+    network = Network(seed, loss=0.05)
     told = FLEET if kind is Swim else replace(FLEET, suspicion_most=1.0)
     addresses = swim_fleet(network, members, told, seed, kind=kind)
     if kind is Plain:
