Say once who is there, how holders are told and a member's name, and drop what nothing read

Cause: a reading of the whole change. Settling and releasing a claim were told to holders by two equal loops, since releases are told again too; the members that are there were picked out in five places; a coordinator's name in its fleet was worked out in three; a claim's wait asked for its verdict twice; tests of processes had runners of their own, and one set a module's global. Fields and a constant that nothing read are gone. Behaviour stays as it is.

--- a/fordstair/membership/swim.py
+++ b/fordstair/membership/swim.py
@@ -90,6 +90,11 @@
     timer: Ticket | None = None  # of its suspicion, or of its being forgotten
     roundabout: int = 0  # probes in a row that it answered through helpers alone
 
+    @property
+    def there(self) -> bool:
+        """Whether it is alive, or only suspected of not being so."""
+        return self.state in (ALIVE, SUSPECT)
+
     @property
     def cut_off(self) -> bool:
         """Whether it is there for others, but not on the way between it and this member."""
@@ -120,7 +125,6 @@
 
     number: int
     target: str
-    began: float
     asked: int = 0  # helpers
     nacks: set[str] = field(default_factory=set)
     answered: bool = False
@@ -135,7 +139,6 @@
 
     requester: str
     number: int
-    target: str
     timer: Ticket | None = None
 
 
@@ -234,7 +237,7 @@
         """Tell others that this member leaves; nothing is sent or heeded afterwards."""
         self._now, self.left = now, True
         update = Update(self.fleet.name, self.fleet.address, self.incarnation, LEFT, self.fleet.name)
-        there = [each for each in self.members.values() if each.state in (ALIVE, SUSPECT)]
+        there = self._there
         for member in self.random.sample(there, min(LEAVE_FAN, len(there))):
             self._put(member.address, View(*self._head, (update,), False))
         self._timers, self._probe = Timers(), None
@@ -262,12 +265,16 @@
     def digest(self) -> int:
         """A checksum of who is there, with incarnations and states; equal views have equal ones."""
         if self._digest is None:
-            there = [each.update for each in self.members.values() if each.state in (ALIVE, SUSPECT)]
-            there.append(self.update)
-            lines = sorted(f"{each.name} {each.incarnation} {each.state}" for each in there)
+            updates = [self.update, *(each.update for each in self._there)]
+            lines = sorted(f"{each.name} {each.incarnation} {each.state}" for each in updates)
             self._digest = crc32("\n".join(lines).encode())
         return self._digest
 
+    @property
+    def _there(self) -> list[Member]:
+        """The others that are there as far as is known: alive, or only suspected."""
+        return [each for each in self.members.values() if each.there]
+
     @property
     def _head(self) -> tuple[str, str]:
         return self.fleet.cluster, self.fleet.name
@@ -356,12 +363,12 @@
     def _set(self, member: Member, update: Update, *, known: bool = True) -> None:
         """Take a state over, and spread it."""
         before = member.state if known else None
-        there = before in (ALIVE, SUSPECT)
+        was_there = known and member.there
         self._timers.drop(member.timer)
         member.suspicion, member.timer, member.since = None, None, self._now
         member.address, member.incarnation = update.address, update.incarnation
         member.state, member.by = update.state, update.by
-        self._alive += (member.state in (ALIVE, SUSPECT)) - there
+        self._alive += member.there - was_there
         if member.state == SUSPECT:
             least = self.fleet.suspicion * max(1.0, math.log10(self._alive)) * self.fleet.probe_ms
             member.suspicion = Suspicion(self._now, update.by, least, least * self.fleet.suspicion_most,
@@ -423,7 +430,7 @@
         self._timers.add(self._now + period, self._round)
         if (target := self._next_target()) is None:
             return
-        probe = self._probe = _Probe(self._next_number(), target.name, self._now)
+        probe = self._probe = _Probe(self._next_number(), target.name)
         self.counts["probes"] += 1
         self._ping(target, probe.number)
         timeout = min(self.awareness.scale(self.fleet.timeout_ms), 0.5 * period)
@@ -434,9 +441,9 @@
         for _ in range(2):
             while self._order:
                 member = self.members.get(self._order.pop())
-                if member is not None and member.state in (ALIVE, SUSPECT):
+                if member is not None and member.there:
                     return member
-            self._order = [name for name, each in self.members.items() if each.state in (ALIVE, SUSPECT)]
+            self._order = [each.name for each in self._there]
             self.random.shuffle(self._order)
         return None
 
@@ -494,7 +501,7 @@
                 self.mute = True
                 self.counts["mute"] += 1
             return
-        if target is None or target.state not in (ALIVE, SUSPECT):
+        if target is None or not target.there:
             return
         if target.suspicion is not None:
             self._confirm(target, self.fleet.name)
@@ -507,7 +514,7 @@
             self.counts["relays_refused"] += 1
             return
         number = self._next_number()
-        relay = self._relays[number] = _Relay(source, request.number, request.target)
+        relay = self._relays[number] = _Relay(source, request.number)
         self._send(request.address, request.target,
                    lambda news: Ping(*self._head, news, number, request.target), len(request.target))
         relay.timer = self._timers.add(self._now + NACK_PART * self.fleet.timeout_ms,
@@ -526,7 +533,7 @@
 
     def _synchronise(self, _: float) -> None:
         """Push-pull with one member that is there, and try one that is not: a partition may have healed."""
-        there = [each for each in self.members.values() if each.state in (ALIVE, SUSPECT)]
+        there = self._there
         addresses = {each.address for each in there}
         gone = [each.address for each in self.members.values() if each.state == DEAD]
         gone += [seed for seed in self.fleet.seeds if seed not in addresses and seed != self.fleet.address]
--- a/fordstair/membership/transport.py
+++ b/fordstair/membership/transport.py
@@ -17,7 +17,6 @@
 log = Events(__name__)
 
 RECEIVE_BYTES = LARGEST + 1  # one more than is allowed, so that what is longer shows
-AT_ONCE = 64  # datagrams read before timers and other tasks have a turn
 BUFFER_BYTES = 1 << 20  # for what comes while this program is busy
 LEAVE_MS = 50.0  # between the two times that a leave is told
 _CANNOT_REACH = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EPERM, errno.EAGAIN,
@@ -31,7 +30,6 @@
         self._told, self._bind, self._seed = fleet, bind, seed
         self.swim: Swim | None = None  # once the socket is open
         self.listeners: list[Callable[[Changed], None]] = []
-        self.address = fleet.address
         self._sock: trio.socket.SocketType | None = None
         self._wake = trio.Event()
 
@@ -43,11 +41,11 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
             await self._sock.bind((host, port))
             bound = self._sock.getsockname()[:2]
-            self.address = self._told.address or _text(bound)
+            address = self._told.address or _text(bound)
             # An incarnation from the clock: greater than that of an earlier life, which is not stored.
-            self.swim = Swim(replace(self._told, address=self.address), int(now_ms()), self._seed)
+            self.swim = Swim(replace(self._told, address=address), int(now_ms()), self._seed)
             log.info("listening", name=self._told.name, front="fleet", host=bound[0], port=bound[1],
-                     cluster=self._told.cluster, address=self.address,
+                     cluster=self._told.cluster, address=address,
                      seeds=",".join(self._told.seeds) or "none")
             self.swim.start(now_ms())
             await self._carry_out(self.swim)
--- a/fordstair/net/repeats.py
+++ b/fordstair/net/repeats.py
@@ -72,12 +72,12 @@
         """Claim a load."""
         if len(name.encode()) > LARGEST_NAME:
             raise ODataError(400, "BadRequest", f"a repeatability id has at most {LARGEST_NAME} bytes")
-        _, begun, outcome = claimed = await self.ledger.begin(f"{team}|{name}")
+        verdict, begun, outcome = await self.ledger.begin(f"{team}|{name}")
         if begun is not None:
             return begun
         if outcome is not None:
             return read_response(outcome)
-        if claimed[0].name == "UNKNOWN":
+        if verdict.name == "UNKNOWN":
             raise _unknown()
         raise ODataError(503, "NoMajority", "too few coordinators can vouch that this load has not run",
                          {"Retry-After": "1"})
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -88,15 +88,15 @@
             from fordstair.replication.service import Service
 
             named = replace(operator.ledger, member=operator.ledger.member or config.name)
-            self.ledger = Service(named, config.seed)
-            self.odata.repeats = SharedRepeats(self.ledger)
-            self.counters.include("ledger", lambda: self.ledger.counts if self.ledger else {})
+            ledger = self.ledger = Service(named, config.seed)
+            self.odata.repeats = SharedRepeats(ledger)
+            self.counters.include("ledger", lambda: ledger.counts)
         if operator is not None and operator.fleet is not None:
             from fordstair.membership.transport import Membership
 
             fleet = replace(operator.fleet, name=operator.fleet.name or config.name)
-            self.membership = Membership(fleet, operator.fleet_listen, config.seed)
-            self.counters.include("fleet", lambda: self.membership.counts if self.membership else {})
+            membership = self.membership = Membership(fleet, operator.fleet_listen, config.seed)
+            self.counters.include("fleet", lambda: membership.counts)
         if operator is not None and operator.console:
             from fordstair.net.door import Door
 
--- a/fordstair/replication/service.py
+++ b/fordstair/replication/service.py
@@ -62,6 +62,7 @@
 VALUES_KEPT_MS, VALUES_MOST = 7 * 86_400_000.0, 5_000  # since they were set; a module learns some hundred
 SETTLE_S = 5.0  # in which holders are told of an outcome; those that do not hear it get it by exchange
 RELEASE_S = 2.0
+TELL_AGAIN_S = 0.2  # before a holder that has not heard either is told again
 AGAIN_S = 1.0  # before a store that cannot be opened is tried again
 EXCHANGE_S = 60.0  # for one exchange; the next one goes on where it was stopped
 RECOVER_S = 10.0  # in which all others must have told all
@@ -146,10 +147,8 @@
             async with trio.open_nursery() as nursery:
                 for holder in claim.holders:
                     nursery.start_soon(ask, holder)
-                while (verdict := claim.verdict(over=False)) is None:
-                    verdict = claim.heard(*await receive.receive())
-                    if verdict is not None:
-                        break
+                while claim.heard(*await receive.receive()) is None:
+                    pass
                 nursery.cancel_scope.cancel()
         return claim.verdict(over=True) or Verdict.REFUSE
 
@@ -163,43 +162,37 @@
     async def settle(self, begun: Begun, outcome: bytes) -> None:
         """Note how a load ended: on this disk where it holds the key, and with the other holders."""
         outcome = outcome if len(outcome) <= OUTCOME_MOST else b""
-        with trio.move_on_after(SETTLE_S):
-            async with trio.open_nursery() as nursery:
-                for holder in begun.holders:
-                    nursery.start_soon(self._settle_at, holder, begun, outcome)
-
-    async def _settle_at(self, holder: str, begun: Begun, outcome: bytes) -> None:
-        while True:
-            with contextlib.suppress(Lost):
-                done = await self._ask(
-                    holder, lambda number: AskSettle(number, begun.key, begun.token, outcome), Done)
-                if done.ok:
-                    return
-            await trio.sleep(0.2)
+        await self._tell_holders(
+            begun, lambda number: AskSettle(number, begun.key, begun.token, outcome), SETTLE_S)
 
     def settle_later(self, begun: Begun, outcome: bytes) -> None:
         """Settle in the background."""
         self._nursery_of().start_soon(self._guarded, self.settle, begun, outcome)
 
+    async def release(self, begun: Begun) -> None:
+        """Give a claim back that has run nothing, and never will.
+
+        A grant that is not given back keeps its key from all for as long as it is remembered.
+        """
+        await self._tell_holders(begun, lambda number: AskRelease(number, begun.key, begun.token), RELEASE_S)
+
     def release_later(self, begun: Begun) -> None:
         """Release in the background."""
         self._nursery_of().start_soon(self._guarded, self.release, begun)
 
-    async def release(self, begun: Begun) -> None:
-        """Give a claim back that has run nothing, and never will."""
-        with trio.move_on_after(RELEASE_S):
+    async def _tell_holders(self, begun: Begun, question: Callable[[int], Ask], within_s: float) -> None:
+        """Tell each holder, again and again until it is on its disk or the time is over."""
+        async def tell(holder: str) -> None:
+            while True:
+                with contextlib.suppress(Lost):
+                    if (await self._ask(holder, question, Done)).ok:
+                        return
+                await trio.sleep(TELL_AGAIN_S)
+
+        with trio.move_on_after(within_s):
             async with trio.open_nursery() as nursery:
                 for holder in begun.holders:
-                    nursery.start_soon(self._release_at, holder, begun)
-
-    async def _release_at(self, holder: str, begun: Begun) -> None:
-        while True:  # a grant that is not given back keeps its key from all for as long as it is remembered
-            with contextlib.suppress(Lost):
-                done = await self._ask(
-                    holder, lambda number: AskRelease(number, begun.key, begun.token), Done)
-                if done.ok:
-                    return
-            await trio.sleep(0.2)
+                    nursery.start_soon(tell, holder)
 
     async def _guarded(self, do: Callable[..., Awaitable[None]], *told: object) -> None:
         """A fault with one member or one claim ends nothing else."""
--- a/fordstair/settings/faults.py
+++ b/fordstair/settings/faults.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from fordstair.settings.schema import File, Table
+from fordstair.settings.schema import File, Table, member_of
 
 FAULTS_MOST = 200
 _AT = re.compile(r" - at `[^`]*`\Z")
@@ -159,7 +159,7 @@
             yield Fault(f"fleet.seeds.{index}", "port 0 cannot be reached")
     yield from _twice("fleet", "seeds", list(fleet.seeds), flat=True)
     if (ledger := fleet.ledger) is not None:
-        own = fleet.member or (file.site.name if file.site is not None else "")
+        own = member_of(file)
         if own and own not in ledger.holders:
             yield Fault("fleet.ledger.holders", f"does not name this member, {own!r}")
         for name, address in ledger.holders.items():
--- a/fordstair/settings/schema.py
+++ b/fordstair/settings/schema.py
@@ -220,6 +220,12 @@
     log: LogTable = LogTable()
 
 
+def member_of(file: File) -> str:
+    """Return a coordinator's name in its fleet: what is set there, else the site's; empty for neither."""
+    own = file.fleet.member if file.fleet is not None else None
+    return own or (file.site.name if file.site is not None else "")
+
+
 def json_schema() -> dict[str, object]:
     """Return the JSON Schema of the file, for editors that check TOML against one."""
     schema = msgspec.json.schema(File)
--- a/fordstair/settings/site.py
+++ b/fordstair/settings/site.py
@@ -19,7 +19,7 @@
 from fordstair.core.ports import Engine
 from fordstair.net.odata_model import EntitySet, Operator
 from fordstair.settings.faults import Fault, Faulty, read
-from fordstair.settings.schema import ClassTable, EngineTable, File, SetTable
+from fordstair.settings.schema import ClassTable, EngineTable, File, SetTable, member_of
 
 if TYPE_CHECKING:
     from fordstair.membership.swim import Fleet
@@ -126,8 +126,7 @@
 
     # Port 0 is known once it is bound; a member's name is the site's where the file gives none.
     advertised = told.advertise or ("" if told.listen.endswith(":0") else told.listen)
-    name = told.member or (file.site.name if file.site is not None else "")
-    return Fleet(told.cluster, name, advertised, tuple(told.seeds), told.probe_ms, told.timeout_ms,
+    return Fleet(told.cluster, member_of(file), advertised, tuple(told.seeds), told.probe_ms, told.timeout_ms,
                  told.indirect, told.suspicion, told.suspicion_most, told.sync_ms,
                  told.forget_seconds * 1000.0, told.members_most)
 
@@ -137,10 +136,10 @@
         return None
     from fordstair.replication.service import Ledger
 
-    name = file.fleet.member or (file.site.name if file.site is not None else "")
-    return Ledger(file.fleet.cluster, name, dict(told.holders), address(told.listen, "fleet.ledger.listen"),
-                  told.store, told.replicas, told.claim_ms, told.repeat_seconds * 1000.0, told.exchange_ms,
-                  told.kilobytes_per_s * 1000.0, told.entries_most)
+    return Ledger(file.fleet.cluster, member_of(file), dict(told.holders),
+                  address(told.listen, "fleet.ledger.listen"), told.store, told.replicas, told.claim_ms,
+                  told.repeat_seconds * 1000.0, told.exchange_ms, told.kilobytes_per_s * 1000.0,
+                  told.entries_most)
 
 
 def _budgets(file: File) -> Budgets | None:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -19,17 +19,17 @@
 from fordstair.lab.relay import Faults, Relay
 from fordstair.membership.messages import ALIVE, Update, View, encode
 from tests.standins import ROOT, Program, config, program
+from tests.test_platform import play
 
 # Times are short so that a death shows within seconds; what is asserted is in periods and suspicions.
 PROBE_MS, SUSPICION = 300.0, 8.0
-LEAST_S = SUSPICION * PROBE_MS / 1000.0
 
 
 class Members:
     """Running programs by name, each behind its front of the relay."""
 
-    def __init__(self, relay: Relay, folder: Path, nursery: trio.Nursery, more: str) -> None:
-        self.relay, self.folder, self.nursery, self.more = relay, folder, nursery, more
+    def __init__(self, relay: Relay, folder: Path, nursery: trio.Nursery, suspicion: float) -> None:
+        self.relay, self.folder, self.nursery, self.suspicion = relay, folder, nursery, suspicion
         self.fronts: dict[str, str] = {}
         self.nodes: dict[str, Program] = {}
         self.former: list[Program] = []
@@ -43,8 +43,8 @@
         path.write_text(
             f'[fleet]\ncluster = "gardens"\nmember = "{name}"\nlisten = "127.0.0.1:0"\n'
             f'advertise = "{self.fronts[name]}"\nseeds = {ujson.dumps(seeds, escape_forward_slashes=False)}\n'
-            f'probe_ms = {PROBE_MS}\ntimeout_ms = 120.0\nsuspicion = {SUSPICION}\nsuspicion_most = 2.0\n'
-            f'sync_ms = 2000.0\n{self.more}\n[console]\nsocket = "{self.folder / name}.sock"\n')
+            f'probe_ms = {PROBE_MS}\ntimeout_ms = 120.0\nsuspicion = {self.suspicion}\nsuspicion_most = 2.0\n'
+            f'sync_ms = 2000.0\n[console]\nsocket = "{self.folder / name}.sock"\n')
         self.nodes[name] = node = await self.nursery.start(self._hold, path)
         self.relay.behind(name, f"127.0.0.1:{node.ports['fleet']}")
 
@@ -102,11 +102,11 @@
 
 
 @asynccontextmanager
-async def fleet(count: int = 5, more: str = "") -> AsyncIterator[Members]:
+async def fleet(count: int = 5, suspicion: float = SUSPICION) -> AsyncIterator[Members]:
     """That many programs that all know each other."""
     with tempfile.TemporaryDirectory(prefix="fleet") as folder:
         async with trio.open_nursery() as nursery:
-            members = Members(Relay(nursery), Path(folder), nursery, more)
+            members = Members(Relay(nursery), Path(folder), nursery, suspicion)
             for number in range(count):
                 members.fronts[f"m{number}"] = await members.relay.front(f"m{number}")
             try:
@@ -123,15 +123,6 @@
                 nursery.cancel_scope.cancel()
 
 
-def play(scene: Callable[[], Awaitable[None]], within_s: float = 110.0) -> None:
-    """Run a scene, bounded in time."""
-    async def bounded() -> None:
-        with trio.fail_after(within_s):
-            await scene()
-
-    trio.run(bounded)
-
-
 def test_a_member_killed_is_dead_for_all_and_comes_back_with_a_greater_incarnation() -> None:
     async def scene() -> None:
         async with fleet() as members:
@@ -144,14 +135,15 @@
             await members.until(members.agree, 15.0)
             assert (await members.view("m1"))["m4"]["incarnation"] > before
 
-    play(scene)
+    play(scene, 110.0)
 
 
 @pytest.mark.parametrize(("pause_s", "dies"), [(2.0, False), (10.0, False), (60.0, True)])
 def test_a_paused_member_dies_only_after_its_suspicion_and_refutes_on_return(
         pause_s: float, dies: bool) -> None:
     async def scene() -> None:
-        async with fleet(more="forget_seconds = 600.0") as members:
+        # the shortest suspicion is 15 s: a pause of 10 s is borne, one of 60 s is not
+        async with fleet(suspicion=50.0) as members:
             members.signal("m2", signal.SIGSTOP)
             await trio.sleep(pause_s)
             assert {name for _, name in members.told("dead")} == ({"m2"} if dies else set())
@@ -161,13 +153,7 @@
             assert counts["fleet.overslept"] >= 1 and (counts["fleet.refutations"] >= 1 or pause_s < 5.0)
             assert {name for _, name in members.told("dead")} == ({"m2"} if dies else set())
 
-    # the shortest suspicion is 15 s here: a pause of 10 s is borne, one of 60 s is not
-    global SUSPICION
-    SUSPICION, before = 50.0, SUSPICION
-    try:
-        play(scene)
-    finally:
-        SUSPICION = before
+    play(scene, 110.0)
 
 
 @pytest.mark.parametrize("drop", [0.1, 0.3, 0.5])
@@ -182,7 +168,7 @@
             members.relay.heal()
             await members.until(members.agree, 20.0)
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_late_doubled_and_overtaken_datagrams_cost_nothing() -> None:
@@ -193,7 +179,7 @@
             await members.until(members.agree, 10.0)
             assert not members.told("dead")
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_a_way_cut_on_one_side_costs_nobody_and_is_found() -> None:
@@ -216,7 +202,7 @@
 
             await members.until(mended, 20.0)
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_a_member_that_nobody_hears_is_found_out_and_accuses_nobody() -> None:
@@ -230,7 +216,7 @@
             members.relay.heal()
             await members.until(members.agree, 20.0)
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_two_halves_hold_each_other_for_dead_and_become_one_view_again() -> None:
@@ -243,7 +229,7 @@
             members.relay.heal()
             await members.until(members.agree, 2.0 * 2.0 + 5.0 * PROBE_MS / 1000.0 + 2.0)
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_a_slow_member_accuses_no_healthy_one_to_death() -> None:
@@ -258,7 +244,7 @@
             await members.until(members.agree, 20.0)
             assert (await members.ask("m0", "counters"))["fleet.overslept"] >= 3
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_a_member_that_ends_on_sigterm_has_left() -> None:
@@ -268,7 +254,7 @@
             await members.until(lambda: members.agree("m0", "m2", "m3", m1="left"), 10.0)
             assert not members.told("dead")
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_noise_and_strangers_are_counted_and_dropped() -> None:
@@ -287,7 +273,7 @@
             await members.until(counted, 10.0)
             assert await members.agree()
 
-    play(scene)
+    play(scene, 110.0)
 
 
 def test_nothing_of_it_is_loaded_or_listens_as_the_platform_starts_the_program() -> None:
@@ -302,4 +288,4 @@
             held = {str(link.readlink()) for link in Path(f"/proc/{node.process.pid}/fd").iterdir()}
             assert not held & {f"socket:[{inode}]" for inode in inodes}
 
-    play(scene)
+    play(scene, 110.0)
--- a/tests/test_ledger_processes.py
+++ b/tests/test_ledger_processes.py
@@ -14,15 +14,16 @@
 from fordstair.lab.ledger_trial import Trial, kills, partitions, trial
 from fordstair.replication.service import SETTLE_S
 from tests.standins import config, engine, program
+from tests.test_platform import play as bounded
 
 
-def play(scene: Callable[[Path], Awaitable[None]], within_s: float = 110.0) -> None:
-    """Run a scene in a folder of its own, bounded in time."""
-    async def bounded() -> None:
-        with trio.fail_after(within_s), tempfile.TemporaryDirectory(prefix="led") as folder:
+def play(scene: Callable[[Path], Awaitable[None]]) -> None:
+    """Run a scene in a folder of its own."""
+    async def in_a_folder() -> None:
+        with tempfile.TemporaryDirectory(prefix="led") as folder:
             await scene(Path(folder))
 
-    trio.run(bounded)
+    bounded(in_a_folder, 110.0)
 
 
 async def kept(one: Trial, ids: list[str]) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,10 +13,10 @@
 ROWS = [b"a\tb\tc\nd\te\tf\n", {}]
 
 
-def play(scene: Callable[[], Awaitable[None]]) -> None:
+def play(scene: Callable[[], Awaitable[None]], within_s: float = 60.0) -> None:
     """Run one scene, with an end to it in any case."""
     async def bounded() -> None:
-        with trio.fail_after(60.0):
+        with trio.fail_after(within_s):
             await scene()
 
     trio.run(bounded)
