Keep late connections, see gone clients at once, answer what came before a shutdown

Now an attempt begins only once all that its client has written is taken. - At a drain's end a request that was read or lay unread when its connection was shut was dropped, or sent on and never answered.

--- a/cairnhoist/interface.py
+++ b/cairnhoist/interface.py
@@ -247,6 +247,7 @@
     memory_mb: float = 0.0
     report: tuple[float, ...] = ()
     loose: bool = False  # it could not be taken back, and may begin or run yet
+    late: bool = False  # no connection came up in time; that shows nobody to be down
 
 
 @dataclass(slots=True, frozen=True)
@@ -262,7 +263,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ProbeEnded:
-    """The result of a probe."""
+    """The result of a probe, or of a connection that nobody waited for any more."""
 
     engine: EngineId
     status: Status
@@ -318,6 +319,7 @@
     request: int
     engine: EngineId
     limit_ms: float = 0.0
+    begin_by: float = math.inf  # from then on it must not begin: what ran before may be forgotten there
 
 
 @dataclass(slots=True, frozen=True)
--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -231,7 +231,7 @@
     def warmth(self, e: Engine) -> float:
         """Share of full capacity surely there after a start; the ramp is not told, so it is read low."""
         s = self.settings
-        start = min(self.now, max(e.entry.started_ms, e.down_at))  # what refused connects was not running
+        start = min(self.now, max(e.entry.started_ms, e.down_at))  # what took no connection was not running
         if not start > 0.0 or self.now - start >= s.cold_ms:
             return 1.0
         return s.cold_from + (1.0 - s.cold_from) * ((self.now - start) / s.cold_ms) ** 2
@@ -326,6 +326,8 @@
         """Take in a load report; a probe's answer clears no marks, and one unanswered is a silence."""
         if (e := self.engines.get(event.engine)) is None:
             return
+        if event.status is Status.CONNECT_FAILED and not (isinstance(event, AttemptEnded) and event.late):
+            e.down_at = self.now
         if isinstance(event, ProbeEnded) and event.status is not Status.OK:
             self.strike(e, SILENT)
         told = dict(zip(self.settings.report_fields, event.report, strict=False))
@@ -378,19 +380,23 @@
 
     def may_repeat(self, r: Request) -> bool:
         """Whether a further attempt keeps the class's promise, the cap and the attempt budget."""
-        budget, effect = self.ration, r.spec.effect
+        budget = self.ration
         if r.sent >= self.settings.max_attempts or self.now + 0.5 * r.cost / r.spec.threads > r.useful_until:
             return False
         if len(r.erred_on) >= ERRORS_MOST:
             return False
-        since = r.maybe_since if r.maybe_since is not None or r.out is None else r.out.sent
-        span = {Effect.SAFE: math.inf, Effect.KEYED: SPAN_PART * r.spec.memory_span_ms, Effect.UNSAFE: -1.0}
-        if since is not None and self.now > since + span[effect]:
+        if self.now > self.repeat_until(r):
             return False
         start = self.now - budget.window_ms  # both edges of the window are read against us
         allowed = budget.free + budget.ratio * self.taken.since(start + 1.0)
         return r.sent == 0 or self.extras.since(start - 1.0) + 1 <= allowed
 
+    def repeat_until(self, r: Request) -> float:
+        """When a further attempt may begin at the latest; its host holds it to that, whatever delays it."""
+        since = r.maybe_since if r.maybe_since is not None or r.out is None else r.out.sent
+        span = {Effect.SAFE: math.inf, Effect.KEYED: SPAN_PART * r.spec.memory_span_ms, Effect.UNSAFE: -1.0}
+        return math.inf if since is None else since + span[r.spec.effect]
+
     def dispatch(self, r: Request) -> None:
         """Send the next attempt, or end the request at once where no engine may have it."""
         r.looking = False
@@ -400,6 +406,7 @@
         if e is None:
             return self.give_up(r, "no engine is open" if may else "no further attempt")
         self.set_terms(r, e)
+        until = self.repeat_until(r)
         if r.sent:
             self.extras.add(self.now)
         a = Attempt(r, r.sent, e, self.now, self.cache.latency(r))
@@ -408,7 +415,7 @@
         e.attach(r, self.now, STEP_MS)
         if r.key_line:
             self.lines[r.key].out += 1
-        self.actions.append(Send(r.id, e.entry.engine))
+        self.actions.append(Send(r.id, e.entry.engine, begin_by=until))
         self.set_timer(max(PATIENCE_MIN_MS, PATIENCE * a.expected), a)
 
     def set_terms(self, r: Request, e: Engine) -> None:
@@ -497,7 +504,6 @@
             sick.errors.add(1.0)
         if served or event.status in FAULTS:
             e.errors.add(0.0 if served else 1.0)
-            e.down_at = self.now if event.status is Status.CONNECT_FAILED else e.down_at
         self.on_report(event)
         if not event.status.proves_unrun and r.maybe_since is None:
             r.maybe_since, r.maybe_on = a.sent, e.entry
--- a/cairnhoist/state.py
+++ b/cairnhoist/state.py
@@ -148,7 +148,7 @@
     report_at: float = -math.inf
     probed_at: float = -math.inf
     heard_at: float = -math.inf  # last sign of work done
-    down_at: float = 0.0  # last failed connect
+    down_at: float = 0.0  # when it was last seen to take no connection
     strikes: float = 0.0
     held: dict[float, int] = field(default_factory=dict)  # own loads out, by table group
 
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -23,6 +23,7 @@
     ListKind,
     Log,
     MembersChanged,
+    ProbeEnded,
     Refuse,
     RequestArrived,
     Send,
@@ -105,6 +106,7 @@
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
         self.draining = False
+        self.closed = False  # what still comes is answered, and nothing of it sent on
         self.aside: set[str] = set()  # ids of engines that an operator has set aside, listed or not
         self.refusals: Counter[tuple[str, str]] = Counter()  # by class and the module's reason
         self.on_change: Callable[[], None] = _nobody  # called at each transition, for those who look on
@@ -153,7 +155,8 @@
         return sum(not live.over for live in self.live.values())
 
     def close(self) -> None:
-        """The program ends: the module gives its word on every request that is still open."""
+        """The program ends: the module gives its word on every request that is still open, or comes yet."""
+        self.closed = True
         for live in [live for live in self.live.values() if not live.over]:
             if self.turns is None or not self.turns.withdraw(live):
                 self.tell(Withdrawn(live.id))
@@ -187,10 +190,12 @@
         query = live.query
         if live.over:  # withdrawn before its turn came: the module must not plan for it
             return
-        if self.turns is None:
+        if self.turns is None or self.closed:
             self.tell(self.arrival(live))
         else:
             await self.turns.wait(live)
+        if self.closed:
+            self.tell(Withdrawn(live.id))
         while (order := await live.next_order()) is not None:
             engine, number, sent_ms = self.engines.get(order.engine), live.attempts, self.deadlines.clock()
             live.attempts, live.engine, live.lowered = number + 1, order.engine, False
@@ -205,9 +210,9 @@
             # The transport looks again right before bytes go out: an engine may have begun to drain while
             # a connection came up, and the request may have been given up meanwhile.
             call = self.transports[engine.protocol].call(
-                Errand(query, engine, live.urgency, limit_ms, partial(self._may_go, live, engine)))
+                Errand(query, engine, live.urgency, limit_ms, partial(self._may_go, live, engine, order)))
             live.call, pages, status, report = call, list[bytes](), Status.CANCELLED, tuple[float, ...]()
-            loose = False
+            loose = late = False
             if self.reach is not None:
                 self.reach.sent(live.id)
             with self.deadlines.limit(sent_ms + limit_ms) as live.scope:
@@ -227,7 +232,7 @@
                             raise AttemptFailed(Status.ERROR, "the result is too large")
                     status = Status.OK  # only now: a page that is lost is an error that may have run
                 except AttemptFailed as failure:
-                    status, report = failure.status, failure.report
+                    status, report, late = failure.status, failure.report, failure.late
                     if self.reach is not None and not failure.reached:
                         self.reach.missed(order.engine)
                     log.debug("attempt.failed", txn=query.txn, engine=order.engine, status=status.value,
@@ -247,7 +252,7 @@
                 self.answer(live, "served", partial(live.reply.served, pages))
             self.tell(AttemptEnded(
                 live.id, number, order.engine, status, self.deadlines.clock() - sent_ms,
-                complete=live.over, report=report, loose=loose))
+                complete=live.over, report=report, loose=loose, late=late))
 
     def arrival(self, live: Live) -> RequestArrived:
         """Return the request as the module is told it now, with the time that it has left."""
@@ -294,13 +299,13 @@
         for engine in listed:
             engine.aside = engine.entry.engine in self.aside
             old = self.engines.get(engine.entry.engine)
-            if old is not None and (old.address, old.entry.started_ms) != (
+            if old is not None and (old.address, old.entry.started_ms) == (
                     engine.address, engine.entry.started_ms):
-                self._retire(old)
-            if old is not None and old.address == engine.address and old.entry.started_ms == \
-                    engine.entry.started_ms:
                 old.entry = engine.entry
             else:
+                if old is not None:
+                    self._retire(old)
+                self._forget(engine)
                 self.engines[engine.entry.engine] = engine
             if engine.entry.state is EngineState.GONE:
                 self._retire(self.engines.pop(engine.entry.engine))
@@ -311,6 +316,11 @@
         known = (self.engines.get(engine.entry.engine, engine) for engine in listed)
         self.tell(MembersChanged(kind, tuple(engine.told for engine in known)))
 
+    def unreached(self, address: str, after_ms: float) -> None:
+        """A connection there has not come up for long: what answers there next may have started anew."""
+        for name in [name for name, engine in self.engines.items() if engine.address == address]:
+            self.tell(ProbeEnded(name, Status.CONNECT_FAILED, after_ms))
+
     def set_aside(self, name: str, aside: bool) -> None:
         """Send an engine nothing new, or again; what runs there goes on, and its word is heeded as before."""
         (self.aside.add if aside else self.aside.discard)(name)
@@ -322,15 +332,23 @@
         """Bound the threads that a class may have out; None lifts the bound."""
         self.tell(LimitSet(klass, threads))
 
-    def _may_go(self, live: Live, engine: Engine) -> bool:
-        return engine.ready and self.engines.get(engine.entry.engine) is engine and not live.over
+    async def _may_go(self, live: Live, engine: Engine, order: Send) -> bool:
+        """Whether bytes may go out now; nothing runs between the look and them."""
+        await live.reply.caught_up()
+        listed = engine.ready and self.engines.get(engine.entry.engine) is engine
+        return listed and not live.over and self.deadlines.clock() <= order.begin_by
 
     def _retire(self, engine: Engine) -> None:
         """No POST meant for this process may reach another that took its address."""
         entry = engine.entry
         engine.entry = EngineEntry(entry.engine, EngineState.GONE, entry.zone, entry.cell, entry.kind,
                                    entry.started_ms, entry.weight)
-        self.transports[engine.protocol].forget(engine)
+        self._forget(engine)
+
+    def _forget(self, engine: Engine) -> None:
+        """What is open at its address, for whichever engine that was opened, leads to a process before it."""
+        for transport in self.transports.values():
+            transport.forget(engine)
 
     def refuse(self, live: Live, later_ms: float, reason: str) -> None:
         """Give the final answer that a retry is harmless, and count why."""
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from cairnhoist.interface import EngineEntry, EngineState, NoteKind, Status
@@ -48,7 +48,10 @@
 
 
 class Reply(Protocol):
-    """Takes the one final answer of a request; returns at once and raises nothing."""
+    """The way back to a client: takes the one final answer of its request, at once, and raises nothing."""
+
+    async def caught_up(self) -> None:
+        """Wait until what the client has said by now is read: that it goes, perhaps."""
 
     def served(self, pages: Sequence[bytes]) -> None:
         """All rows, in order, as text with tabs and line feeds."""
@@ -74,10 +77,11 @@
     """An attempt has ended without its result; the status says what that proves."""
 
     def __init__(self, status: Status, why: str, report: tuple[float, ...] = (), *,
-                 reached: bool = True) -> None:
+                 reached: bool = True, late: bool = False) -> None:
         super().__init__(why)
         self.status, self.report = status, report
         self.reached = reached  # whether anything there has answered at all
+        self.late = late  # its connection may come up yet
 
 
 class Call(Protocol):
@@ -103,6 +107,10 @@
         """Tell a new priority of running work."""
 
 
+async def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Errand:
     """What a transport is told of one attempt."""
@@ -111,7 +119,7 @@
     engine: Engine
     urgency: int
     limit_ms: float
-    may_go: Callable[[], bool] = field(default=lambda: True)  # asked right before bytes go out
+    may_go: Callable[[], Awaitable[bool]] = _always  # asked right before bytes go out
 
 
 class Transport(Protocol):
--- a/fordstair/lab/site.py
+++ b/fordstair/lab/site.py
@@ -145,7 +145,7 @@
             await trio.sleep(CONNECT_MS / 1e3)
             raise AttemptFailed(Status.CONNECT_FAILED, "nothing came up", reached=False)
         await self._way()
-        if not self.errand.may_go():
+        if not await self.errand.may_go():
             raise AttemptFailed(Status.MOOT, "the engine takes nothing new")
         query = self.errand.query
         spec = self.desk.settings.classes[query.klass]
@@ -207,6 +207,10 @@
     def __init__(self, record: Record, sent_ms: float) -> None:
         self.record, self.sent_ms = record, sent_ms
 
+    async def caught_up(self) -> None:
+        """It says nothing."""
+        await trio.lowlevel.checkpoint()
+
     def served(self, pages: Sequence[bytes]) -> None:
         """Served."""
         self._answered("served", "")
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -13,7 +13,8 @@
 from cairnhoist.interface import Status
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import AttemptFailed, Engine, Errand, News
-from fordstair.net.http_client import Answer, Broken, ConnectFailed, Connection, Pool
+from fordstair.net.http_client import Answer, Broken, Connection
+from fordstair.net.pool import ConnectFailed, Pool, PooledConnection
 
 # An engine answers within 250 ms; one that has not by then is silent. A query must be asked for every
 # 2 s, so a silent call is given up early enough to ask again on another connection.
@@ -52,7 +53,7 @@
         self.sent_ms = 0.0  # when the POST began to go
         self.ended = False
         self.heard = False  # something shows that the engine has read the POST, or never will
-        self.unread: Connection | None = None  # where the answer to a call that was stopped is still to come
+        self.unread: PooledConnection | None = None  # where a stopped call's answer is still to come
 
     @abstractmethod
     def post(self, limit_ms: int) -> tuple[str, list[tuple[str, str]], bytes]:
@@ -83,11 +84,11 @@
             connection = await self.pool.acquire(self.address)
         except ConnectFailed as error:
             failed = self.end(Status.CONNECT_FAILED, str(error))
-            failed.reached = isinstance(error.__cause__, ConnectionRefusedError)
+            failed.reached, failed.late = error.refused, error.late
             raise failed from error
         why = "silence"
         try:
-            if not errand.may_go():  # it began to drain, or was replaced, while the connection came up
+            if not await errand.may_go():  # it began to drain, or was replaced, while the connection came up
                 raise self.end(Status.MOOT, "the engine takes nothing new")
             path, headers, body = self.post(max(1, math.ceil(until_ms - self.deadlines.clock())))
             self.sent_ms = self.deadlines.clock()
@@ -104,7 +105,7 @@
                 self.heard = self.heard or connection.sock.is_readable()
             # One that was stopped closes at once: a machine that was cut off and comes back would read the
             # POST from it, and run the query beside the next attempt.
-            self.pool.release(connection, self.address)
+            self.pool.release(connection)
         if not self.posted_ms:  # it never came whole, so nothing is out; for a load that is no proof yet
             raise self.end(Status.RESET, f"the engine does not read: {why}")
         if not self.path:
@@ -143,7 +144,7 @@
             return self.heard or self.deadlines.clock() < self.sent_ms + PROMPT_MS
         finally:
             if connection is not None:
-                self.pool.release(connection, self.address)
+                self.pool.release(connection)
 
     async def side_call(self, method: str, path: str, body: bytes = b"") -> None:
         """Make a call whose answer tells nothing, on another connection than the one that asks.
@@ -158,14 +159,14 @@
                 await connection.exchange(method, path, [], body)
                 return
             except ConnectFailed as error:
-                if isinstance(error.__cause__, ConnectionRefusedError):
+                if error.refused:
                     return
                 await self.deadlines.sleep(AGAIN_MS)
             except Broken:
                 await self.deadlines.sleep(OVERTAKE_MS)
             finally:
                 if connection is not None:
-                    self.pool.release(connection, self.address)
+                    self.pool.release(connection)
 
     async def ask(self, path: str, read: Callable[[Answer], T]) -> T:
         """GET until there is an answer that can be read.
@@ -182,7 +183,7 @@
                     answer = await self._get(connection, path, silence)
                     return self._read(connection, answer, read)
             except ConnectFailed as error:
-                if isinstance(error.__cause__, ConnectionRefusedError):  # its process has gone
+                if error.refused:  # its process has gone
                     self.heard = True
                     raise self.end(Status.RESET, str(error)) from error
                 await self.deadlines.sleep(AGAIN_MS)  # an error that comes at once must not spin
@@ -193,10 +194,10 @@
                     raise AttemptFailed(Status.RESET, str(error)) from error
             finally:
                 if connection is not None and connection is not self.unread:
-                    self.pool.release(connection, self.address)
+                    self.pool.release(connection)
             fresh = True
 
-    async def _get(self, connection: Connection, path: str, silence: trio.CancelScope) -> Answer:
+    async def _get(self, connection: PooledConnection, path: str, silence: trio.CancelScope) -> Answer:
         """Make a GET; where it is stopped before its answer, if not for silence, ``drop`` reads it.
 
         Closing there would cost a handshake for the next query: with many engines and few requests to each,
--- a/fordstair/net/http_client.py
+++ b/fordstair/net/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 calls to engines, one at a time per connection, from a bounded pool."""
+"""HTTP/1.1 calls to engines, one at a time per connection."""
 
 from __future__ import annotations
 
@@ -6,26 +6,17 @@
 import socket
 import ssl
 import struct
-from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import h11
 import trio
 
-from fordstair.core.counters import Counters
-from fordstair.core.deadlines import Deadlines
-
 READ_BYTES = 16_384
 LARGEST_ANSWER = 1024 * 1024
-IDLE_MARGIN_MS = 1_000.0  # closed here before the engine closes it: a POST must not cross such a close
 _ABORT = struct.pack("ii", 1, 0)
 
 
-class ConnectFailed(Exception):
-    """No connection came up: nothing was sent."""
-
-
 class Broken(Exception):
     """The connection ended, or what came is no HTTP; what was sent may have arrived."""
 
@@ -127,8 +118,9 @@
 
         What h11 holds after an answer, a second copy say, would be read as the answer of the next call.
         """
-        done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        return done and not (self.spoilt or self._h11.trailing_data[0] or self.sock.is_readable())
+        states = self._h11.our_state, self._h11.their_state
+        between = states in ((h11.IDLE, h11.IDLE), (h11.DONE, h11.DONE))  # not used yet, or between two calls
+        return between and not (self.spoilt or self._h11.trailing_data[0] or self.sock.is_readable())
 
     def close(self) -> None:
         """Close at once, and drop what has not left yet: it must not reach whoever comes back there."""
@@ -139,132 +131,3 @@
     def retire(self) -> None:
         """Close an idle connection in the ordinary way."""
         self.sock.close()
-
-
-class Pool:
-    """Connections to engines, all together at most ``size``."""
-
-    size, connect_ms, idle_ms = 64, 250.0, 30_000.0  # until the configuration has been applied
-
-    def __init__(self, deadlines: Deadlines, counters: Counters, *,
-                 tls: Callable[[str], ssl.SSLContext | None] = lambda _: None,
-                 accept: Callable[[str, trio.SSLStream[trio.SocketStream]], None] = lambda *_: None) -> None:
-        self.deadlines, self.counters = deadlines, counters
-        self._tls, self._accept = tls, accept
-        self._idle: dict[str, list[Connection]] = {}
-        self._waiting: deque[trio.Event] = deque()
-        self._open = 0
-
-    @property
-    def open(self) -> int:
-        """Connections that are open now."""
-        return self._open
-
-    def resize(self, size: int) -> None:
-        """Allow that many connections from now on; those over it end with their calls."""
-        self.size = size
-        for turn in self._waiting:
-            turn.set()
-
-    async def acquire(self, address: str, *, fresh: bool = False) -> Connection:
-        """Return a connection for one call; raise ConnectFailed where none comes up."""
-        if not fresh and (connection := self._reuse(address)) is not None:
-            return connection
-        await self._slot()
-        try:
-            return await self._connect(address)
-        except BaseException:
-            self._free()
-            raise
-
-    def release(self, connection: Connection, address: str) -> None:
-        """Take a connection back after its call, whatever became of the call."""
-        if connection.reusable and self._open <= self.size:
-            connection.idle_since = self.deadlines.clock()
-            self._idle.setdefault(address, []).append(connection)
-            if self._waiting:  # somebody waits for room: an idle connection is the first to go
-                self._drop_idle()
-        else:
-            connection.close()
-            self._free()
-
-    def forget(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, []):
-            connection.retire()
-            self._free()
-
-    def tidy(self) -> None:
-        """Close what has been idle for long; sets its own next deadline."""
-        edge = self.deadlines.clock() - max(IDLE_MARGIN_MS, self.idle_ms - IDLE_MARGIN_MS)
-        for address, connections in list(self._idle.items()):
-            while connections and connections[0].idle_since < edge:
-                connections.pop(0).retire()
-                self._free()
-            if not connections:
-                del self._idle[address]
-        self.deadlines.add(self.deadlines.clock() + IDLE_MARGIN_MS, self.tidy)
-
-    def _reuse(self, address: str) -> Connection | None:
-        edge = self.deadlines.clock() - max(IDLE_MARGIN_MS, self.idle_ms - IDLE_MARGIN_MS)
-        connections = self._idle.get(address, [])
-        while connections:
-            connection = connections.pop()
-            if connection.idle_since >= edge and connection.reusable:
-                return connection
-            connection.retire()
-            self._free()
-        return None
-
-    async def _slot(self) -> None:
-        while self._open >= self.size and not self._drop_idle():
-            turn = trio.Event()
-            self._waiting.append(turn)
-            try:
-                await turn.wait()
-            finally:
-                if turn in self._waiting:
-                    self._waiting.remove(turn)
-        self._open += 1
-
-    def _drop_idle(self) -> bool:
-        for connections in self._idle.values():
-            if connections:
-                connections.pop(0).retire()
-                self._free()
-                return True
-        return False
-
-    def _free(self) -> None:
-        self._open -= 1
-        if self._waiting:
-            self._waiting.popleft().set()
-
-    async def _connect(self, address: str) -> Connection:
-        host, _, port = address.rpartition(":")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = trio.socket.socket(family, socket.SOCK_STREAM)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream: trio.abc.Stream | None = None
-            # A machine that vanished never answers a connect: the limit keeps it from holding the call.
-            with self.deadlines.limit(self.deadlines.clock() + self.connect_ms):
-                await sock.connect((host.strip("[]"), int(port)))
-                plain = trio.SocketStream(sock)
-                if (context := self._tls(address)) is None:
-                    stream = plain
-                else:
-                    secured = trio.SSLStream(plain, context, https_compatible=True)
-                    await secured.do_handshake()
-                    self._accept(address, secured)
-                    stream = secured
-            if stream is None:
-                raise ConnectFailed(f"{address}: no connection within {self.connect_ms:.0f} ms")
-            self.counters.add("engine.connections")
-            return Connection(sock, stream, address)
-        except (OSError, trio.BrokenResourceError, ssl.SSLError) as error:
-            sock.close()
-            raise ConnectFailed(f"{address}: {error}") from error
-        except BaseException:
-            sock.close()
-            raise
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/msgpack_rpc.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+from collections import deque
 from collections.abc import Sequence
 from typing import Any
 
@@ -15,7 +16,7 @@
 from fordstair.core.events import Events
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
-from fordstair.net.closing import linger
+from fordstair.net.closing import linger, shut
 from fordstair.net.messagepack import Incomplete, Malformed, read
 
 log = Events(__name__)
@@ -27,10 +28,13 @@
 # A client that does not read its answers is not read from either, so that its answers cannot pile up.
 UNSENT_MOST = 256 * 1024
 TURN_MESSAGES = 32  # handled before others get their turn
-# A first message, or the rest of a begun one, must come within that time: silent connections and endless
-# messages would fill the room for clients. One that has asked may stay silent for good.
+# A first message must come whole within that time, and of a later one that has begun something must come:
+# silent connections and endless messages would fill the room for clients. One that has asked may stay silent
+# for good, and whose requests are open may write as slowly as it likes.
 WHOLE_MS, UNREAD_MS = 2_000.0, 250.0
+CATCH_UP_MS = 1.0  # between two looks whether what a client has written is read
 GREET_MS = 300.0  # for a new connection, while there are others to shed
+SORT_MS = 50.0  # an order of whom to shed holds for so long: a flood of connections must not cost a sort each
 WRITE_MS = 5_000.0  # for an answer to leave: a client that reads nothing is not kept for ever
 # Who asks for what cannot be used, again and again, is read from more slowly; its answers are not delayed.
 PAUSE_MS, PAUSE_MOST_MS = 5.0, 100.0
@@ -91,6 +95,10 @@
     def __init__(self, client: RpcClient, number: int) -> None:
         self.client, self.number = client, number
 
+    async def caught_up(self) -> None:
+        """Wait until what the client has written by now is read."""
+        await self.client.caught_up()
+
     def served(self, pages: Sequence[bytes]) -> None:
         """Answer with all rows."""
         self.client.answer(self.number, None, [b"".join(pages), {}])
@@ -112,21 +120,32 @@
         self.stream, self.coordinator, self.deadlines = stream, coordinator, coordinator.deadlines
         self.largest_statement = largest_statement
         self.open: dict[int, Live] = {}
-        self.closing = False  # nothing more is read; it ends once all open requests are answered
+        self.closing = False  # it ends once all that has come is answered, and every answer has left
+        self.lingering = False  # this side is shut: what still comes is read and dropped
         self.asked = False  # it has sent a message that could be used
         self.since_ms = self.deadlines.clock()  # of its last message or answer
+        self.heard_ms = self.since_ms  # when bytes last came
+        self.began_ms = 0.0  # when the message that is half-sent began; 0: none is
         self._faults = 0  # messages in a row that could not be used
         self._last = -1  # the id that came last
         self._unsent, self._sending = bytearray(), False
-        self._stir = trio.Event()
-        self._scope, self._reading = trio.CancelScope(), trio.CancelScope()
+        self._read_up = 0  # how often all that had come was read and taken
+        self._stir, self._flushed = trio.Event(), trio.Event()
+        self._scope = trio.CancelScope()
+        self._waits: trio.CancelScope | None = None  # while it waits for bytes
+        self._ended = self._short = self._reads = False
         self._due: Ticket | None = None
 
+    @property
+    def settled(self) -> bool:
+        """Whether no request is open, and every answer has left."""
+        return not (self.open or self._unsent or self._sending)
+
     @property
     def idle(self) -> bool:
-        """Whether no request is open or half-sent, and every answer has left."""
-        half_sent = self.asked and self._due is not None
-        return not (self.open or half_sent or self._unsent or self._sending)
+        """Whether it is settled, and not in a message; one without an end keeps no room for ever."""
+        half_sent = self.asked and self.began_ms > self.deadlines.clock() - WHOLE_MS
+        return self.settled and not half_sent
 
     @property
     def unread(self) -> bool:
@@ -140,10 +159,13 @@
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write, nursery.cancel_scope)
-                    with self._reading:
-                        await self._read()
-                    self.close()
+                    nursery.start_soon(self._write)
+                    await self._read()
+                    while not self.settled:
+                        self._flushed = trio.Event()
+                        await self._flushed.wait()
+                    nursery.cancel_scope.cancel()
+                self.lingering = True
                 await linger(self.stream, self.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -154,10 +176,20 @@
                 await trio.aclose_forcefully(self.stream)
 
     def close(self) -> None:
-        """End the connection once nothing is open on it."""
+        """End the connection once it is settled, and nothing has come that is not read."""
         self.closing = True
         self._stir.set()
 
+    async def caught_up(self) -> None:
+        """Wait until all that has come by now is read: behind other messages it may say that its client goes.
+
+        A client that is not read from, since it does not read itself, has nothing begun for it either.
+        """
+        # What is being taken now may have been read before the rest came: a second time it is all there.
+        read_up = self._read_up + 2
+        while (self._reads or self.unread) and self._read_up < read_up:
+            await self.deadlines.sleep(CATCH_UP_MS)
+
     def shed(self) -> None:
         """End the connection at once: what comes from now on must not be read and dropped."""
         self.stream.socket.close()
@@ -170,7 +202,7 @@
         self._unsent += msgpack.packb([RESPONSE, number, error, result], use_bin_type=True)
         self._stir.set()
 
-    async def _write(self, scope: trio.CancelScope) -> None:
+    async def _write(self) -> None:
         while True:
             while self._unsent:
                 out, self._unsent, self._sending = self._unsent, bytearray(), True
@@ -180,21 +212,46 @@
                     self.coordinator.counters.add("client.stuck")
                     return self.shed()
             self._sending = False
-            if self.closing and not self.open:
-                scope.cancel()
+            self._flushed.set()
+            if self.closing and self._waits is not None:
+                self._waits.cancel()
             self._stir = trio.Event()
             await self._stir.wait()
 
-    async def _read(self) -> None:
-        chunks, size, needed = list[bytes](), 0, 1
-        while not self.closing:
+    async def _receive(self) -> bytes:
+        """Return what comes next; nothing once nothing more is to be read, or this side is shut.
+
+        What has come before the shutdown is read, taken and answered: dropped, its client would wait in vain.
+        Between the look for it and the shutdown nothing else may run, and nothing read may be on its way to
+        being taken; so the task that reads does both. What comes later crosses the shutdown, and its client
+        sends it again.
+        """
+        self._read_up += self._short
+        self._short = False
+        while not self._ended:
             while len(self._unsent) > UNSENT_MOST:
                 await self.deadlines.sleep(10.0)
-            chunk = await self.stream.receive_some(READ_BYTES)
-            if not chunk:
-                # The client has gone, or has shut its side: what is open is answered if it can be.
-                return
-            chunks.append(bytes(chunk))
+            if self.closing and self.settled and not self.unread:
+                shut(self.stream)
+                break
+            with trio.CancelScope() as scope:
+                self._waits, self._reads = scope, False
+                try:
+                    if isinstance(self.stream, trio.SocketStream):
+                        await trio.lowlevel.wait_readable(self.stream.socket)
+                    self._reads = True  # from here to the next wait there may be something that is not taken
+                    chunk = bytes(await self.stream.receive_some(READ_BYTES))
+                finally:
+                    self._waits, self._reads = None, True
+                self.heard_ms, self._short = self.deadlines.clock(), len(chunk) < READ_BYTES
+                return chunk
+        return b""
+
+    async def _read(self) -> None:
+        """Take what comes, until the client has gone or can no longer be understood."""
+        chunks, size, needed = list[bytes](), 0, 1
+        while chunk := await self._receive():
+            chunks.append(chunk)
             size += len(chunk)
             if size < needed:  # what is still incomplete is not read anew with every piece
                 continue
@@ -215,11 +272,15 @@
                 return self._refuse_rest(view[at:], str(error))
             if turn and self.asked:  # the time runs for each message anew
                 self._whole()
-            if at < len(view) and self._due is None:
-                self._expect(WHOLE_MS)
+            if at < len(view) and (turn or not self.began_ms):
+                self.began_ms = self.heard_ms
+                if self._due is None:
+                    self._expect(WHOLE_MS)
             chunks, size = ([buffer[at:]], len(buffer) - at) if at < len(buffer) else ([], 0)
             if self._faults:
                 await self._yield()
+        # Whoever has shut its side has gone: nothing is begun for it any more, and nothing gone on with.
+        self._leave()
 
     async def _yield(self) -> None:
         """Let others have their turn; a client that sends what cannot be used waits longer for its next."""
@@ -229,18 +290,23 @@
         self._due = self.deadlines.add(self.deadlines.clock() + ms, self._overdue)
 
     def _whole(self) -> None:
+        self.began_ms = 0.0
         if self._due is not None:
             self.deadlines.drop(self._due)
             self._due = None
 
     def _overdue(self) -> None:
-        """No message has come whole in time: the client is silent, or its message has no end."""
+        """No message has come whole in time: the client is silent, or its message has no end.
+
+        What is open is owed its answer all the same, and may be cancelled: it is read from until then.
+        """
         self._due = None
-        if self.unread:  # it is this program that is late
+        writes = self.asked and self.heard_ms > self.deadlines.clock() - WHOLE_MS
+        if self._waits is None or self.unread or self.open or writes:  # or it is this program that is late
             return self._expect(UNREAD_MS)
         self.coordinator.counters.add("client.overdue")
-        self._leave()
-        self._reading.cancel()
+        self._ended = True
+        self._waits.cancel()
 
     def _leave(self) -> None:
         """Give up all that is open: its client has gone, or can no longer be understood."""
@@ -318,6 +384,15 @@
     def __init__(self, coordinator: Coordinator) -> None:
         self.coordinator = coordinator
         self.clients: set[RpcClient] = set()
+        self.closing = False
+        self._next_to_go: deque[tuple[int, float, RpcClient]] = deque()  # the first to be shed first
+        self._sorted_ms = 0.0
+
+    def close(self) -> None:
+        """End every connection as ``RpcClient.close`` says, also one that is accepted and not served yet."""
+        self.closing = True
+        for client in self.clients:
+            client.close()
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection; a fault in it, or in making room for it, ends no other."""
@@ -331,6 +406,7 @@
 
     async def _serve(self, client: RpcClient) -> None:
         self.clients.add(client)
+        client.closing = self.closing
         self.coordinator.counters.add("client.connections")
         try:
             await client.run()
@@ -343,11 +419,16 @@
         Who connects and says nothing goes first, then who has been silent longest since asking: clients that
         ask once and hold their connection must not keep others out. A new connection has some time to ask.
         """
-        young_ms = self.coordinator.deadlines.clock() - GREET_MS
-        idle = [(1 if client.asked else 2 if client.since_ms > young_ms else 0, client.since_ms, client)
-                for client in self.clients if client.idle]
-        for _, _, client in sorted(idle, key=lambda each: each[:2]):
-            if client.closing or not client.unread:
+        now = self.coordinator.deadlines.clock()
+        if not self._next_to_go or now > self._sorted_ms + SORT_MS:
+            young_ms = now - GREET_MS
+            idle = [(1 if client.asked else 2 if client.since_ms > young_ms else 0, client.since_ms, client)
+                    for client in self.clients if client.idle]
+            self._next_to_go, self._sorted_ms = deque(sorted(idle, key=lambda each: each[:2])), now
+        while self._next_to_go:
+            _, since_ms, client = self._next_to_go.popleft()
+            if client in self.clients and client.idle and client.since_ms == since_ms and (
+                    client.lingering or not client.unread):
                 self.coordinator.counters.add("client.shed")
                 self.clients.discard(client)
                 client.shed()
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/odata_front.py
@@ -62,6 +62,10 @@
     later_ms: float | None = None
     reason: str = ""
 
+    async def caught_up(self) -> None:
+        """Its session reads all the while."""
+        await trio.lowlevel.checkpoint()
+
     def served(self, pages: Sequence[bytes]) -> None:
         """All rows."""
         self.pages = pages
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -18,8 +18,8 @@
 from fordstair.core.events import Events
 from fordstair.core.ports import Engine, Transport
 from fordstair.net.command_channel import CommandChannel
-from fordstair.net.http_client import Pool
 from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
+from fordstair.net.pool import Pool
 from fordstair.net.rest_engine import RestTransport
 
 if TYPE_CHECKING:  # what only an operator's file turns on is not loaded on the platform
@@ -37,6 +37,7 @@
 # After SIGTERM new connections and requests still come for a while; SIGKILL comes after the longest deadline
 # and KILL_MS. By then all must be answered: the module gives its word on what is open a moment before.
 ACCEPT_MS, KILL_MS, LONGEST_MS, ANSWER_MS, FLUSH_MS = 700.0, 700.0, 3_000.0, 550.0, 300.0
+BACKLOG_MS = 500.0  # at most, for those that have connected and are not accepted yet
 SPARE_SOCKETS = 40  # the listeners, the channel, the console, standard streams and some room
 # Usual clients hold at most a third of the sockets; the rest is for those that must be told so first.
 CLIENTS_PART = 0.4
@@ -52,6 +53,7 @@
         self.config, self.operator, self.load = config, operator, load
         self.deadlines, self.counters, self.stop = Deadlines(), Counters(), trio.Event()
         self.listed = trio.Event()  # set by news of engines
+        self.listeners: list[trio.SocketListener] = []
         self.identity: Identity | None = None
         self.odata: ODataFront | None = None
         self.door: Door | None = None
@@ -72,6 +74,7 @@
             transports["odata"] = ODataTransport(*transport)
         self.coordinator = Coordinator(
             config.settings, config.seed, transports, self.deadlines, self.counters)
+        self.pool.unreached = self.coordinator.unreached
         if config.budgets is not None:
             from fordstair.core.turns import Turns
             from fordstair.scheduling.scheduler import Scheduler
@@ -204,10 +207,10 @@
         """Run until SIGTERM, or the console's drain, has been followed by the last answer."""
         for _, kind, engines in self.config.known:
             self.members(kind, engines)
-        self.pool.tidy()
         async with trio.open_nursery() as nursery:
             await nursery.start(self.signals)
             nursery.start_soon(self.deadlines.run)
+            await nursery.start(self.pool.run)
             await nursery.start(self.coordinator.run)
             nursery.start_soon(self.command_channel.run)
             if self.membership is not None:
@@ -307,6 +310,7 @@
                     listeners = await trio.open_tcp_listeners(listen[1], host=listen[0])
                 except OSError as error:
                     raise ConfigError(f"{name}: {listen[0]}:{listen[1]}: {error}") from None
+                self.listeners += listeners
                 host, port = listeners[0].socket.getsockname()[:2]
                 log.info("listening", name=self.config.name, front=name, host=host, port=port)
                 await trio.serve_listeners(serve, listeners, handler_nursery=clients)
@@ -318,13 +322,17 @@
         longest_ms = max(spec.give_up_ms for spec in self.config.settings.classes)
         kill_ms = start + min(LONGEST_MS, longest_ms) + KILL_MS
         await deadlines.sleep(ACCEPT_MS)
+        # Who has connected by now is accepted: closing the listener resets what waits at it, and what was
+        # asked there with it.
+        late_ms = deadlines.clock() + BACKLOG_MS
+        while deadlines.clock() < late_ms and any(each.socket.is_readable() for each in self.listeners):
+            await deadlines.sleep(1.0)
         for scope in accepting:
             scope.cancel()
         while deadlines.clock() < kill_ms - ANSWER_MS and coordinator.open:
             await deadlines.sleep(20.0)
         coordinator.close()
-        for client in self.rpc.clients:
-            client.close()
+        self.rpc.close()
         while deadlines.clock() < kill_ms - ANSWER_MS + FLUSH_MS and (
                 self.rpc.clients or coordinator.live or (self.odata is not None and not self.odata.idle)):
             await deadlines.sleep(10.0)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -20,6 +20,9 @@
 import trio
 import ujson
 
+from fordstair.config import parse
+from fordstair.program import Program as Coordination
+
 ROOT = Path(__file__).parent.parent
 SETTINGS: dict[str, Any] = {
     "areas": ["hall-a"], "hostTypes": ["std"], "instances": 1, "index": 0, "family": "queries",
@@ -238,3 +241,21 @@
                 if len(one.ports) >= fronts:
                     ready.set()
     ready.set()
+
+
+@asynccontextmanager
+async def inside(told: dict[str, Any]) -> AsyncIterator[Coordination]:
+    """The program within this process, so that a test can hold its parts at a barrier."""
+    one = Coordination(parse(told), None, lambda: parse(told))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(one.run)
+        with trio.fail_after(20.0):
+            while not one.listeners:
+                await trio.sleep(0.001)
+        yield one
+        nursery.cancel_scope.cancel()
+
+
+async def connect(one: Coordination) -> Client:
+    """Connect a client to a program within this process."""
+    return Client(await trio.open_tcp_stream(*one.listeners[0].socket.getsockname()))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -258,6 +258,19 @@
     assert rig.gateway.warmth(engine(rig, 1)) == 1.0
 
 
+def test_a_connection_that_is_late_shows_no_engine_to_be_down_and_one_that_never_comes_up_does() -> None:
+    rig = Rig(settings(max_attempts=1))
+    for _ in range(20):
+        r = rig.ask(SAFE, 100.0)
+        late = rig.sends(r)[0].engine == "10.0.0.1:80"
+        rig.end(r, Status.CONNECT_FAILED if late else Status.OK, 250.0, late=late)
+    assert rig.gateway.warmth(engine(rig, 1)) == 1.0
+    # warm or not, it is avoided while connections to it are slow
+    assert rig.gateway.marks(engine(rig, 1)) < 0.6
+    rig.feed(ProbeEnded("10.0.0.1:80", Status.CONNECT_FAILED, 3_000.0))
+    assert rig.gateway.warmth(engine(rig, 1)) < 0.5 and rig.gateway.warmth(engine(rig, 2)) == 1.0
+
+
 def test_no_storm_of_attempts_where_no_budget_is_stated() -> None:
     rig = Rig(settings(max_attempts=5))
     for _ in range(100):
