Log how attempts end and repeat, why requests fail, and steps of the wall clock

Missing in the incident's evidence: the end of each first attempt (status, whether it proves that nothing ran), the number of a repeat, and the clock.

--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -213,6 +213,11 @@
                 Errand(query, engine, live.urgency, limit_ms, partial(self._may_go, live, engine, order)))
             live.call, pages, status, report = call, list[bytes](), Status.CANCELLED, tuple[float, ...]()
             loose = late = False
+            why = ""
+            if number:
+                self.counters.add(f"repeated.{query.lane}")
+                log.info("attempt.repeated", txn=query.txn, lane=query.lane, attempt=number,
+                         engine=order.engine, left_ms=round(limit_ms))
             if self.reach is not None:
                 self.reach.sent(live.id)
             with self.deadlines.limit(sent_ms + limit_ms) as live.scope:
@@ -235,8 +240,7 @@
                     status, report, late = failure.status, failure.report, failure.late
                     if self.reach is not None and not failure.reached:
                         self.reach.missed(order.engine)
-                    log.debug("attempt.failed", txn=query.txn, engine=order.engine, status=status.value,
-                              why=failure)
+                    why = str(failure)
             if live.scope.cancelled_caught and self.deadlines.clock() >= sent_ms + limit_ms:
                 status = Status.TIMEOUT
             if status is not Status.OK:  # what may still run must be given up before the next attempt
@@ -248,6 +252,10 @@
                     self.reach.heard(live.id, order.engine)
             live.held_ms += (self.deadlines.clock() - sent_ms) * self.settings.classes[query.klass].threads
             self.counters.add(f"outcome.{status.value}")
+            if status is not Status.OK:
+                log.info("attempt.ended", txn=query.txn, lane=query.lane, attempt=number, engine=order.engine,
+                         status=status.value, unrun=status.proves_unrun, loose=loose,
+                         after_ms=round(self.deadlines.clock() - sent_ms), why=why)
             if status is Status.OK:
                 self.answer(live, "served", partial(live.reply.served, pages))
             self.tell(AttemptEnded(
@@ -275,6 +283,8 @@
                         self.refuse(live, later, reason)
                 case Fail(request, reason):
                     if (live := self.live.get(request)) is not None:
+                        log.info("request.failed", txn=live.query.txn, lane=live.query.lane, why=reason,
+                                 attempts=live.attempts)
                         self.answer(live, "failed", partial(live.reply.failed, reason or "given up"))
                 case Cancel(request, attempt):
                     live = self.live.get(request)
@@ -353,6 +363,8 @@
     def refuse(self, live: Live, later_ms: float, reason: str) -> None:
         """Give the final answer that a retry is harmless, and count why."""
         self.refusals[live.query.lane, reason] += not live.over
+        log.debug("request.refused", txn=live.query.txn, lane=live.query.lane, why=reason,
+                  attempts=live.attempts)
         self.answer(live, "refused", partial(live.reply.refused, later_ms))
 
     def answer(self, live: Live, how: str, answer: Callable[[], None]) -> None:
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -12,6 +12,7 @@
 
 from cairnhoist.interface import ListKind
 from fordstair.config import Config, ConfigError
+from fordstair.core.clock import StepWatch
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
@@ -42,6 +43,7 @@
 # Usual clients hold at most a third of the sockets; the rest is for those that must be told so first.
 CLIENTS_PART = 0.4
 SHARE_MS = 5_000.0  # between two looks at what was learned of costs
+CLOCK_WATCH_MS = 1_000.0  # between two looks for a step of the wall clock
 KEEP_MS = 5_000.0  # between two notes on disk that the register was heard
 STATEMENTS_PART, SMALLEST_BOUND = 0.125, 16 * 1024
 
@@ -210,6 +212,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.signals)
             nursery.start_soon(self.deadlines.run)
+            nursery.start_soon(self.watch_clock)
             await nursery.start(self.pool.run)
             await nursery.start(self.coordinator.run)
             nursery.start_soon(self.command_channel.run)
@@ -246,6 +249,15 @@
         except OSError as error:
             raise ConfigError(f"{told}: {error}") from None
 
+    async def watch_clock(self) -> None:
+        """Log and count steps of the wall clock, for whoever reads times in logs."""
+        watch = StepWatch()
+        while True:
+            await trio.sleep(CLOCK_WATCH_MS / 1000.0)
+            if step_ms := watch.look():
+                self.counters.add("clock.steps")
+                log.warning("clock.stepped", by_ms=round(step_ms))
+
     async def serve_odata(self, stream: trio.SocketStream) -> None:
         """Serve an OData client, after its handshake where there are identities."""
         assert self.odata is not None
