--- /dev/null
+++ b/fordstair/lab/fault_shim.py
@@ -0,0 +1,114 @@
+"""The program with a stepped wall clock and failing system calls.
+
+Run it as ``python -m fordstair.lab.fault_shim`` with the arguments of ``python -m fordstair``. The faults stand in
+the JSON file that ``FORDSTAIR_FAULTS`` names. They are read at the start and again at each SIGUSR2, after which
+``fault_shim: applied`` goes to standard error: a test can wait for that line.
+
+    {"wall_step_ms": -3600000, "calls": {"connect": {"errno": "ENOBUFS", "chance": 0.2}}, "seed": 7}
+
+``wall_step_ms`` is added to the wall clock alone; the monotonic clock is never touched. ``calls`` names calls
+of ``socket.socket`` (open, accept, connect, recv, send) that fail with an errno by chance, as Linux documents
+for them; ``{"short": 3}`` makes recv and send handle at most that many bytes at a time.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+ENVIRONMENT_VARIABLE = "FORDSTAIR_FAULTS"
+APPLIED = "fault_shim: applied"
+
+
+class FaultShim:
+    """Puts itself before the clock and the socket calls of this process."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.wall_step_ms = 0.0
+        self.calls: Mapping[str, Mapping[str, Any]] = {}
+        self.random = random.Random(0)
+
+    def load(self) -> None:
+        """Read the faults that hold from now on."""
+        told = ujson.loads(self.path.read_text())
+        self.wall_step_ms = float(told.get("wall_step_ms", 0.0))
+        self.calls = told.get("calls", {})
+        self.random.seed(told.get("seed", 0))
+
+    def install(self) -> None:
+        """Replace the calls, and follow SIGUSR2."""
+        self._install_clock()
+        self._install_sockets()
+        signal.signal(signal.SIGUSR2, self._on_signal)
+
+    def _on_signal(self, *_: object) -> None:
+        self.load()
+        print(APPLIED, file=sys.stderr, flush=True)
+
+    def _install_clock(self) -> None:
+        true_time, true_time_ns = time.time, time.time_ns
+        time.time = lambda: true_time() + self.wall_step_ms / 1e3
+        time.time_ns = lambda: true_time_ns() + int(self.wall_step_ms * 1e6)
+
+    def _install_sockets(self) -> None:
+        kind: Any = socket.socket
+        true_init, true_accept = kind.__init__, kind.accept
+        true_recv, true_send = kind.recv, kind.send
+
+        def opened(sock: Any, *arguments: Any, **named: Any) -> None:
+            if named.get("fileno") is None and len(arguments) < 4:  # not where accept() wraps a descriptor
+                self._fail("open")
+            true_init(sock, *arguments, **named)
+
+        def received(sock: Any, size: int, *flags: int) -> bytes:
+            return bytes(true_recv(sock, self._shorten("recv", size), *flags))
+
+        def sent(sock: Any, data: bytes, *flags: int) -> int:
+            return int(true_send(sock, memoryview(data)[:self._shorten("send", len(data))], *flags))
+
+        kind.__init__ = opened
+        kind.accept = self._failing("accept", true_accept)
+        kind.connect = self._failing("connect", kind.connect)
+        kind.recv, kind.send = received, sent
+
+    def _failing(self, name: str, call: Callable[..., Any]) -> Callable[..., Any]:
+        def replaced(*arguments: Any) -> Any:
+            self._fail(name)
+            return call(*arguments)
+
+        return replaced
+
+    def _fail(self, name: str) -> None:
+        fault = self.calls.get(name)
+        if fault and "errno" in fault and self.random.random() < fault.get("chance", 1.0):
+            number = getattr(errno, fault["errno"])
+            raise OSError(number, os.strerror(number))
+
+    def _shorten(self, name: str, size: int) -> int:
+        self._fail(name)
+        return min(size, int(self.calls.get(name, {}).get("short", size)))
+
+
+def main() -> int:
+    """Install the faults, and run the program on this command line."""
+    shim = FaultShim(Path(os.environ[ENVIRONMENT_VARIABLE]))
+    shim.load()
+    shim.install()
+    from fordstair.__main__ import main as program  # only now: it must see the replaced calls alone
+
+    return program()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
