--- a/cairnhoist/logic.py
+++ b/cairnhoist/logic.py
@@ -12,6 +12,7 @@
     RequestArrived, Scope, Send, SetTerms, Settings, SetTimer, Status, StreamStarted, TimerFired, Watch,
     Withdrawn,
 )
+from cairnhoist.repeats import may_have_run, must_not_repeat, window_end
 from cairnhoist.state import Attempt, Engine, Learned, Line, Mean, RecentMeans, Request, Rule, Window, usable
 
 CALM_LOAD, FULL_LOAD = 1.2, 2.0  # threads a core at which pressure starts, and at which it is 1
@@ -35,7 +36,7 @@
 FAULTS = (Status.RESET, Status.CONNECT_FAILED, Status.FULL)  # full, since what hangs fills up
 PROVEN = 0.4  # share of errors that the first one is read as which is surely its engine's
 ERRORS_MOST = 2  # engines that may answer with an error before the request counts as at fault
-OWN_RATION, SPAN_PART = AttemptBudget(1.0, 0.5, 5000.0), 0.9  # where none is stated; duplicates' span used
+OWN_RATION = AttemptBudget(1.0, 0.5, 5000.0)  # where none is stated
 IDLE_PART, IDLE_THREADS, TOO_IDLE, SILENT = 0.1, 2.0, 2.0, 0.5  # part of due threads, least due; strikes
 SLOW_COUNT = 2.0  # times the threads by utilisation from which those by count are believed
 PATIENCE, PATIENCE_MIN_MS = 3.0, 300.0  # times the expected latency before an attempt is looked into
@@ -385,18 +386,12 @@
             return False
         if len(r.erred_on) >= ERRORS_MOST:
             return False
-        if self.now > self.repeat_until(r):
+        if must_not_repeat(r) or self.now > window_end(r):
             return False
         start = self.now - budget.window_ms  # both edges of the window are read against us
         allowed = budget.free + budget.ratio * self.taken.since(start + 1.0)
         return r.sent == 0 or self.extras.since(start - 1.0) + 1 <= allowed
 
-    def repeat_until(self, r: Request) -> float:
-        """When a further attempt may begin at the latest; its host holds it to that, whatever delays it."""
-        since = r.maybe_since if r.maybe_since is not None or r.out is None else r.out.sent
-        span = {Effect.SAFE: math.inf, Effect.KEYED: SPAN_PART * r.spec.memory_span_ms, Effect.UNSAFE: -1.0}
-        return math.inf if since is None else since + span[r.spec.effect]
-
     def dispatch(self, r: Request) -> None:
         """Send the next attempt, or end the request at once where no engine may have it."""
         r.looking = False
@@ -406,7 +401,7 @@
         if e is None:
             return self.give_up(r, "no engine is open" if may else "no further attempt")
         self.set_terms(r, e)
-        until = self.repeat_until(r)
+        until = window_end(r)
         if r.sent:
             self.extras.add(self.now)
         a = Attempt(r, r.sent, e, self.now, self.cache.latency(r))
@@ -529,7 +524,7 @@
         again = r.spec.effect is Effect.SAFE or (r.spec.effect is Effect.KEYED and r.spec.scope is Scope.ALL)
         if r.out is not None:
             self.cancel(r.out)
-        if again or (r.maybe_since is None and r.out is None):
+        if again or not may_have_run(r):
             advice = self.settings.max_retry_after_ms * (0.25 + 0.75 * self.pressure(r.klass))
             self.actions.append(Refuse(r.id, advice if self.settings.retry_advice else 0.0, why))
         else:
--- a/fordstair/budgets/transport.py
+++ b/fordstair/budgets/transport.py
@@ -14,7 +14,7 @@
 from fordstair.budgets.holding import Share
 from fordstair.budgets.node import Node
 from fordstair.budgets.whole import MILLI, Part
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import unix_now
 from fordstair.core.events import Events
 from fordstair.membership.messages import LARGEST
 from fordstair.membership.transport import BUFFER_BYTES, address_text, cannot_reach
@@ -57,7 +57,7 @@
     def __init__(self, part: Part, seed: int) -> None:
         self.plan, self._part = part.plan, part
         # An incarnation from the clock, so that answers to an earlier life are not taken for this one's.
-        self.node = Node(part.plan, part.member, int(now_ms()), part.addresses, seed)
+        self.node = Node(part.plan, part.member, int(unix_now().value), part.addresses, seed)
         self.node.on_share = self._shared
         self.on_share: Callable[[], None] = lambda: None  # called when a share has changed
         self._sock: trio.socket.SocketType | None = None
--- a/fordstair/core/clock.py
+++ b/fordstair/core/clock.py
@@ -1,27 +1,79 @@
-"""The system's clocks, and a watch for steps of the wall clock."""
+"""The system's clocks, and the only place that reads them.
+
+All spans, deadlines and windows are reckoned in milliseconds of the monotonic clock, as plain floats: no
+operator and no time server steps it. Unix time is a type of its own that neither adds to nor compares with
+those floats. It is read where a wire, a disk or a log wants it, and is turned into the program's time
+there.
+"""
+
+from __future__ import annotations
 
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NewType
+
+MonotonicMs = NewType("MonotonicMs", float)
+STEP_LEAST_MS = 250.0  # a smaller change of the wall clock counts as drift
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class UnixMs:
+    """A Unix time in milliseconds. The wall clock may be stepped: two of them do not tell a span."""
+
+    value: float
+
 
+def monotonic_now() -> MonotonicMs:
+    """Return the time by the monotonic clock, whose origin means nothing."""
+    return MonotonicMs(time.monotonic() * 1_000.0)
 
-def now_ms() -> float:
-    """Return the system's Unix time in milliseconds."""
-    return time.time() * 1000.0
 
+def unix_now() -> UnixMs:
+    """Return the time by the wall clock."""
+    return UnixMs(time.time() * 1_000.0)
 
-def monotonic_ms() -> float:
-    """Return milliseconds of a clock that is never stepped; its origin means nothing."""
-    return time.monotonic() * 1000.0
 
+class AnchoredClock:
+    """Relates Unix time to monotonic time by one look at both clocks, so that later steps change nothing."""
 
-class StepWatch:
-    """Finds steps of the wall clock by its offset from the monotonic one."""
+    def __init__(self, monotonic: Callable[[], float] = monotonic_now,
+                 unix: Callable[[], UnixMs] = unix_now) -> None:
+        self._monotonic = monotonic
+        self._offset_ms = unix().value - monotonic()
 
-    def __init__(self, threshold_ms: float = 250.0) -> None:
-        self.threshold_ms = threshold_ms
-        self._offset_ms = now_ms() - monotonic_ms()
+    def now(self) -> UnixMs:
+        """Return the Unix time by the wall clock as it stood at the anchor."""
+        return self.unix(self._monotonic())
+
+    def unix(self, moment_ms: float) -> UnixMs:
+        """Return the Unix time of a moment of the monotonic clock."""
+        return UnixMs(moment_ms + self._offset_ms)
+
+    def monotonic(self, moment: UnixMs) -> MonotonicMs:
+        """Return the monotonic time of a Unix time."""
+        return MonotonicMs(moment.value - self._offset_ms)
+
+
+class WallClock:
+    """Tells moments of the monotonic clock in the wall clock's time of now, for people; follows its steps."""
+
+    def __init__(self, monotonic: Callable[[], float] = monotonic_now,
+                 unix: Callable[[], UnixMs] = unix_now) -> None:
+        self._monotonic, self._unix = monotonic, unix
+        self._offset_ms = self._measure()
 
     def look(self) -> float:
-        """Return by how far the wall clock was stepped since the last look; 0 where it was not."""
-        offset_ms = now_ms() - monotonic_ms()
-        step_ms, self._offset_ms = offset_ms - self._offset_ms, offset_ms
-        return step_ms if abs(step_ms) >= self.threshold_ms else 0.0
+        """Return by how far the wall clock was stepped since it was last followed; 0 where it was not."""
+        step_ms = self._measure() - self._offset_ms
+        if abs(step_ms) < STEP_LEAST_MS:
+            return 0.0
+        self._offset_ms += step_ms
+        return step_ms
+
+    def unix(self, moment_ms: float) -> UnixMs:
+        """Return a moment of the monotonic clock as the wall clock tells it; equal moments stay equal."""
+        return UnixMs(moment_ms + self._offset_ms)
+
+    def _measure(self) -> float:
+        return self._unix().value - self._monotonic()
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -38,7 +39,9 @@
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.events import Events
+from fordstair.core.invariants import Invariant, Invariants
 from fordstair.core.ports import AttemptFailed, Call, Engine, Errand, Query, Reply, Transport
+from fordstair.core.send_guard import Denial, SendGuard
 
 if TYPE_CHECKING:  # loaded only where the operator's file sets budgets
     from fordstair.core.reach import Reach
@@ -61,6 +64,7 @@
     reply: Reply
     taken_ms: float
     deadline_ms: float
+    guard: SendGuard
     urgency: int = 1
     lowered: bool = False  # runs beyond its team's budget while others wait
     attempts: int = 0
@@ -88,6 +92,18 @@
             self.scope.cancel()
 
 
+@dataclass(slots=True)
+class Outcome:
+    """How an attempt ended, put down while it is followed."""
+
+    status: Status = Status.CANCELLED
+    pages: list[bytes] = field(default_factory=list)
+    report: tuple[float, ...] = ()
+    loose: bool = False  # it may begin or run yet
+    late: bool = False  # its connection may come up yet
+    why: str = ""
+
+
 def _nobody() -> None:
     """Nobody looks on."""
 
@@ -98,7 +114,7 @@
     def __init__(self, settings: Settings, seed: int, transports: Mapping[str, Transport],
                  deadlines: Deadlines, counters: Counters) -> None:
         self.settings, self.transports = settings, transports
-        self.deadlines, self.counters = deadlines, counters
+        self.deadlines, self.counters, self.invariants = deadlines, counters, Invariants(counters)
         self.gateway = Gateway(settings, seed)
         self.engines: dict[str, Engine] = {}
         self.live: dict[int, Live] = {}
@@ -126,7 +142,9 @@
         assert self._nursery is not None, "the coordinator is not running"
         self._last_id += 1
         now = self.deadlines.clock()
-        live = Live(self._last_id, query, reply, now, now + max(0.0, query.limit_ms - TRANSIT_MS))
+        spec = self.settings.classes[query.klass]
+        live = Live(self._last_id, query, reply, now, now + max(0.0, query.limit_ms - TRANSIT_MS),
+                    SendGuard(spec.effect, spec.memory_span_ms))
         self.live[live.id] = live
         self._txns.add(query.txn.lower())
         self.counters.add(f"taken.{query.lane}")
@@ -170,6 +188,9 @@
             self.answer(live, "failed", partial(live.reply.failed, "internal error"))
             self._write_off(live)
         finally:
+            if not (live.over or trio.current_effective_deadline() == -math.inf):
+                self.invariants.violated(Invariant.EVERY_ANSWER, txn=live.query.txn, attempts=live.attempts)
+                self.answer(live, "failed", partial(live.reply.failed, "internal error"))
             self.live.pop(live.id, None)
             self._txns.discard(live.query.txn.lower())
             if self.reach is not None:
@@ -187,7 +208,6 @@
 
     async def serve(self, live: Live) -> None:
         """One request from its arrival to its single final answer."""
-        query = live.query
         if live.over:  # withdrawn before its turn came: the module must not plan for it
             return
         if self.turns is None or self.closed:
@@ -197,70 +217,102 @@
         if self.closed:
             self.tell(Withdrawn(live.id))
         while (order := await live.next_order()) is not None:
-            engine, number, sent_ms = self.engines.get(order.engine), live.attempts, self.deadlines.clock()
-            live.attempts, live.engine, live.lowered = number + 1, order.engine, False
-            if live.over or engine is None:
-                # Its client left, or the engine went, before the order's turn came: nothing is sent, but the
-                # module counts it as out until it is told of an end.
-                self.tell(AttemptEnded(live.id, number, order.engine, Status.MOOT, 0.0, complete=live.over))
-                continue
-            self.counters.add(f"sent.{query.lane}")
-            until = sent_ms + order.limit_ms if order.limit_ms > 0.0 else live.deadline_ms
-            limit_ms = min(until, live.deadline_ms) - sent_ms
-            # The transport looks again right before bytes go out: an engine may have begun to drain while
-            # a connection came up, and the request may have been given up meanwhile.
-            call = self.transports[engine.protocol].call(
-                Errand(query, engine, live.urgency, limit_ms, partial(self._may_go, live, engine, order)))
-            live.call, pages, status, report = call, list[bytes](), Status.CANCELLED, tuple[float, ...]()
-            loose = late = False
-            why = ""
-            if number:
-                self.counters.add(f"repeated.{query.lane}")
-                log.info("attempt.repeated", txn=query.txn, lane=query.lane, attempt=number,
-                         engine=order.engine, left_ms=round(limit_ms))
-            if self.reach is not None:
-                self.reach.sent(live.id)
-            with self.deadlines.limit(sent_ms + limit_ms) as live.scope:
-                try:
-                    news = await call.start()
-                    while news.running:
-                        if self.reach is not None:
-                            self.reach.heard(live.id, order.engine)
-                        if news.note is not None:
-                            self.tell(AttemptNote(live.id, number, order.engine, *news.note))
-                        news = await call.news()
-                    report, pages = news.report, [news.rows]
-                    while (rows := await call.further()) is not None:
-                        pages.append(rows)
-                        # a result without an end must not fill the memory
-                        if sum(map(len, pages)) > LARGEST_RESULT:
-                            raise AttemptFailed(Status.ERROR, "the result is too large")
-                    status = Status.OK  # only now: a page that is lost is an error that may have run
-                except AttemptFailed as failure:
-                    status, report, late = failure.status, failure.report, failure.late
-                    if self.reach is not None and not failure.reached:
-                        self.reach.missed(order.engine)
-                    why = str(failure)
-            if live.scope.cancelled_caught and self.deadlines.clock() >= sent_ms + limit_ms:
-                status = Status.TIMEOUT
-            if status is not Status.OK:  # what may still run must be given up before the next attempt
-                loose = not await call.drop()
-            live.scope, live.call = None, None
-            if self.reach is not None:
-                self.reach.ended(live.id)
-                if status is Status.OK:
+            self.tell(await self._attempt(live, order))
+
+    async def _attempt(self, live: Live, order: Send) -> AttemptEnded:
+        """Carry one attempt out; return its end, of which the module must hear whatever it was."""
+        number, live.attempts = live.attempts, live.attempts + 1
+        live.engine, live.lowered = order.engine, False
+        engine = self.engines.get(order.engine)
+        denial = Denial.ENGINE_CLOSED if engine is None else self._denial(live, engine, order)
+        if engine is None or denial is not None:
+            # Its client left, or the engine went, before the order's turn came: nothing is sent, but the
+            # module counts it as out until it is told of an end.
+            self._held(live, order, denial or Denial.ENGINE_CLOSED)
+            return AttemptEnded(live.id, number, order.engine, Status.MOOT, 0.0, complete=live.over)
+        self._note_sent(live, order, number)
+        sent_ms = self.deadlines.clock()
+        call = live.call = self._call(live, engine, order, sent_ms)
+        outcome = Outcome()
+        with self.deadlines.limit(self._attempt_ends(live, order, sent_ms)) as live.scope:
+            await self._follow(live, order, number, call, outcome)
+        if live.scope.cancelled_caught and self.deadlines.clock() >= self._attempt_ends(live, order, sent_ms):
+            outcome.status = Status.TIMEOUT
+        if outcome.status is not Status.OK:  # what may still run must be given up before the next attempt
+            outcome.loose = not await call.drop()
+        live.guard.end(outcome.status, loose=outcome.loose)
+        live.scope, live.call = None, None
+        took_ms = self.deadlines.clock() - sent_ms
+        self._note_end(live, order, number, outcome, took_ms)
+        if outcome.status is Status.OK:
+            self.answer(live, "served", partial(live.reply.served, outcome.pages))
+        return AttemptEnded(
+            live.id, number, order.engine, outcome.status, took_ms, complete=live.over, report=outcome.report,
+            loose=outcome.loose, late=outcome.late)
+
+    def _attempt_ends(self, live: Live, order: Send, sent_ms: float) -> float:
+        return min(live.deadline_ms, sent_ms + order.limit_ms) if order.limit_ms > 0.0 else live.deadline_ms
+
+    def _call(self, live: Live, engine: Engine, order: Send, sent_ms: float) -> Call:
+        limit_ms = self._attempt_ends(live, order, sent_ms) - sent_ms
+        # The transport asks the guard right before bytes go out: an engine may have begun to drain while a
+        # connection came up, and the request may have been given up meanwhile.
+        may_go = partial(self._may_go, live, engine, order)
+        return self.transports[engine.protocol].call(
+            Errand(live.query, engine, live.urgency, limit_ms, may_go))
+
+    async def _follow(self, live: Live, order: Send, number: int, call: Call, outcome: Outcome) -> None:
+        """Ask for an attempt until it has ended, and put down how."""
+        try:
+            news = await call.start()
+            while news.running:
+                if self.reach is not None:
                     self.reach.heard(live.id, order.engine)
-            live.held_ms += (self.deadlines.clock() - sent_ms) * self.settings.classes[query.klass].threads
-            self.counters.add(f"outcome.{status.value}")
-            if status is not Status.OK:
-                log.info("attempt.ended", txn=query.txn, lane=query.lane, attempt=number, engine=order.engine,
-                         status=status.value, unrun=status.proves_unrun, loose=loose,
-                         after_ms=round(self.deadlines.clock() - sent_ms), why=why)
+                if news.note is not None:
+                    self.tell(AttemptNote(live.id, number, order.engine, *news.note))
+                news = await call.news()
+            outcome.report, outcome.pages = news.report, [news.rows]
+            while (rows := await call.further()) is not None:
+                outcome.pages.append(rows)
+                # a result without an end must not fill the memory
+                if sum(map(len, outcome.pages)) > LARGEST_RESULT:
+                    raise AttemptFailed(Status.ERROR, "the result is too large")
+            outcome.status = Status.OK  # only now: a page that is lost is an error that may have run
+        except AttemptFailed as failure:
+            outcome.status, outcome.report, outcome.late = failure.status, failure.report, failure.late
+            outcome.why = str(failure)
+            if self.reach is not None and not failure.reached:
+                self.reach.missed(order.engine)
+
+    def _held(self, live: Live, order: Send, denial: Denial) -> None:
+        """Count an attempt that was not begun; whoever ordered one that no rule allows has a fault."""
+        self.counters.add(f"held.{denial.name.lower()}")
+        if (rule := denial.violates) is None:
+            return
+        self.invariants.violated(rule, txn=live.query.txn, engine=order.engine, attempt=live.attempts - 1)
+        self.answer(live, "failed", partial(live.reply.failed, denial.value))
+
+    def _note_sent(self, live: Live, order: Send, number: int) -> None:
+        self.counters.add(f"sent.{live.query.lane}")
+        if self.reach is not None:
+            self.reach.sent(live.id)
+        if number:
+            self.counters.add(f"repeated.{live.query.lane}")
+            log.info("attempt.repeated", txn=live.query.txn, lane=live.query.lane, attempt=number,
+                     engine=order.engine, left_ms=round(live.deadline_ms - self.deadlines.clock()))
+
+    def _note_end(self, live: Live, order: Send, number: int, outcome: Outcome, took_ms: float) -> None:
+        status = outcome.status
+        live.held_ms += took_ms * self.settings.classes[live.query.klass].threads
+        self.counters.add(f"outcome.{status.value}")
+        if self.reach is not None:
+            self.reach.ended(live.id)
             if status is Status.OK:
-                self.answer(live, "served", partial(live.reply.served, pages))
-            self.tell(AttemptEnded(
-                live.id, number, order.engine, status, self.deadlines.clock() - sent_ms,
-                complete=live.over, report=report, loose=loose, late=late))
+                self.reach.heard(live.id, order.engine)
+        if status is not Status.OK:
+            log.info("attempt.ended", txn=live.query.txn, lane=live.query.lane, attempt=number,
+                     engine=order.engine, status=status.value, unrun=status.proves_unrun,
+                     loose=outcome.loose, after_ms=round(took_ms), why=outcome.why)
 
     def arrival(self, live: Live) -> RequestArrived:
         """Return the request as the module is told it now, with the time that it has left."""
@@ -345,8 +397,20 @@
     async def _may_go(self, live: Live, engine: Engine, order: Send) -> bool:
         """Whether bytes may go out now; nothing runs between the look and them."""
         await live.reply.caught_up()
-        listed = engine.ready and self.engines.get(engine.entry.engine) is engine
-        return listed and not live.over and self.deadlines.clock() <= order.begin_by
+        if (denial := self._denial(live, engine, order)) is not None:
+            self._held(live, order, denial)
+            return False
+        live.guard.begin(self.deadlines.clock())
+        return True
+
+    def _denial(self, live: Live, engine: Engine, order: Send) -> Denial | None:
+        """Return why an attempt must not begin now; None where it may."""
+        if live.over:
+            return Denial.REQUEST_OVER
+        if not engine.ready or self.engines.get(engine.entry.engine) is not engine:
+            return Denial.ENGINE_CLOSED
+        now = self.deadlines.clock()
+        return Denial.WINDOW_OVER if now > order.begin_by else live.guard.denial(now)
 
     def _retire(self, engine: Engine) -> None:
         """No POST meant for this process may reach another that took its address."""
--- a/fordstair/core/deadlines.py
+++ b/fordstair/core/deadlines.py
@@ -1,15 +1,18 @@
-"""All deadlines of the program, in one sorted structure that is swept each turn."""
+"""All deadlines of the program, in one sorted structure that is swept each turn.
+
+Times are milliseconds of the monotonic clock; a step of the wall clock moves none of them.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from typing import TypeAlias
 
 import trio
 from sortedcontainers import SortedDict
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import monotonic_now
 from fordstair.core.events import Events
 
 log = Events(__name__)
@@ -20,7 +23,7 @@
 class Deadlines:
     """Actions to run once their time has come, sorted by that time."""
 
-    def __init__(self, clock: Callable[[], float] = now_ms) -> None:
+    def __init__(self, clock: Callable[[], float] = monotonic_now) -> None:
         self.clock = clock
         self._due: SortedDict[Ticket, Callable[[], object]] = SortedDict()
         self._number = 0
@@ -38,6 +41,10 @@
             self._earlier.set()
         return ticket
 
+    def after(self, span_ms: float, action: Callable[[], object]) -> Ticket:
+        """Run the action once that span of real time has passed."""
+        return self.add(self.clock() + span_ms, action)
+
     def drop(self, ticket: Ticket) -> None:
         """Forget a deadline; one that has passed is no error."""
         self._due.pop(ticket, None)
@@ -62,9 +69,13 @@
             finally:
                 self.drop(ticket)
 
+    def limit_for(self, span_ms: float) -> AbstractContextManager[trio.CancelScope]:
+        """Cancel the block once that span of real time has passed, as ``limit`` does."""
+        return self.limit(self.clock() + span_ms)
+
     async def sleep(self, ms: float) -> None:
         """Wait for that long."""
-        with self.limit(self.clock() + ms):
+        with self.limit_for(ms):
             await trio.sleep_forever()
 
     async def run(self) -> None:
--- /dev/null
+++ b/fordstair/core/invariants.py
@@ -0,0 +1,33 @@
+"""The rules that the program itself must never break, checked while it runs."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+from fordstair.core.counters import Counters
+from fordstair.core.events import Events
+
+log = Events(__name__)
+
+
+class Invariant(Enum):
+    """One rule; its value names the counter of its violations."""
+
+    NO_UNSAFE_REPEAT = "unsafe_repeat"  # what may have run is not sent again where a repeat has an effect
+    ONE_ATTEMPT_OUT = "parallel_attempt"  # no further attempt beside one that runs or may begin yet
+    ONE_ANSWER = "second_answer"
+    EVERY_ANSWER = "unanswered"  # a request ends with an answer, or because its client has gone
+    NO_OPEN_CLOSED = "closed_while_open"  # a connection with an open request is closed by its client alone
+
+
+class Invariants:
+    """Counts and logs violations. What would be one is not done: a count above 0 is a fault found in time."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+
+    def violated(self, rule: Invariant, **fields: Any) -> None:
+        """Count a violation, and say where."""
+        self._counters.add(f"violation.{rule.value}")
+        log.error("invariant.violated", rule=rule.value, **fields)
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from cairnhoist.interface import EngineEntry, EngineState, NoteKind, Status
+from fordstair.core.clock import UnixMs
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,6 +32,7 @@
     entry: EngineEntry
     address: str  # host:port
     protocol: str = "rest"
+    started: UnixMs | None = None  # its process, as discovery tells it; None: long past
     aside: bool = False  # an operator has set it aside
     avoided: bool = False  # its hall is out of reach
 
--- a/fordstair/core/turns.py
+++ b/fordstair/core/turns.py
@@ -128,7 +128,7 @@
     def _tick(self) -> None:
         if not self._ticking and self._lives:
             self._ticking = True
-            self.coordinator.deadlines.add(self.coordinator.deadlines.clock() + TICK_MS, self._look)
+            self.coordinator.deadlines.after(TICK_MS, self._look)
 
     def _look(self) -> None:
         self._ticking = False
--- a/fordstair/feed/observe.py
+++ b/fordstair/feed/observe.py
@@ -13,6 +13,7 @@
 from cairnhoist.logic import SOUND
 from cairnhoist.state import Engine as Believed
 from fordstair.adjust.ledger import Ledger
+from fordstair.core.clock import WallClock
 from fordstair.core.coordinator import Coordinator, Live
 from fordstair.core.ports import Engine
 from fordstair.feed.picture import (
@@ -44,17 +45,23 @@
 class Observer:
     """Keeps the latest picture, and makes the next one from it."""
 
-    def __init__(self, name: str, coordinator: Coordinator, ledger: Ledger, started_ms: float,
+    def __init__(self, name: str, coordinator: Coordinator, ledger: Ledger, wall_clock: WallClock,
                  membership: Membership | None = None, shared: Service | None = None,
                  budgets: FleetBudgets | None = None) -> None:
         self.membership, self.shared, self.budgets = membership, shared, budgets
         self.name, self.coordinator, self.ledger = name, coordinator, ledger
-        self.started_ms, self.watchers = started_ms, 0
+        self.wall_clock, self.watchers = wall_clock, 0
+        self._started_ms = coordinator.deadlines.clock()
+        self._changes: dict[str, tuple[State, float]] = {}  # by engine: its state, and since when
         self.picture = Picture()
         self.notes: deque[NoteView] = deque(maxlen=NOTES_MOST)
 
+    def _unix(self, moment_ms: float) -> float:
+        """Return a moment of the monotonic clock as people read it; 0 where there was none."""
+        return self.wall_clock.unix(moment_ms).value if moment_ms > 0.0 else 0.0
+
     def look(self, now: float) -> Picture:
-        """Make the picture of this moment, numbered after the one before."""
+        """Make the picture of this moment of the monotonic clock, numbered after the one before."""
         live = [each for each in self.coordinator.live.values() if not each.over]
         rows: dict[str, dict[str, Any]] = {
             "engines": self._engines(now), "classes": self._classes(live), "teams": self._teams(live),
@@ -66,19 +73,19 @@
             kept = renewed(tables[name], table)
             if kept is not tables[name]:
                 tables = tables.set(name, kept)
-        site = SiteView(self.name, self.started_ms, self.coordinator.draining, len(live),
+        site = SiteView(self.name, self._unix(self._started_ms), self.coordinator.draining, len(live),
                         sum(each.call is not None for each in live), self.ledger.revision, self.watchers)
-        self.picture = Picture(self.picture.number + 1, now, site, tables, tuple(self.notes))
+        self.picture = Picture(self.picture.number + 1, self._unix(now), site, tables, tuple(self.notes))
         return self.picture
 
     def _engines(self, now: float) -> dict[str, EngineView]:
-        old = self.picture.tables["engines"]
-        views = dict[str, EngineView]()
+        views, changes = dict[str, EngineView](), dict[str, tuple[State, float]]()
         for name, engine in self.coordinator.engines.items():
             view = self._engine(name, engine, self.coordinator.gateway.engines.get(name), now)
-            before = old.get(name)
-            since = before.changed_ms if before is not None and before.state == view.state else now
-            views[name] = msgspec.structs.replace(view, changed_ms=since)
+            before = self._changes.get(name)
+            changes[name] = before if before is not None and before[0] == view.state else (view.state, now)
+            views[name] = msgspec.structs.replace(view, changed_ms=self._unix(changes[name][1]))
+        self._changes = changes
         return views
 
     def _engine(self, name: str, engine: Engine, known: Believed | None, now: float) -> EngineView:
@@ -93,8 +100,8 @@
         return EngineView(
             name, engine_state(engine, trust, warmth, seen.strikes, now - seen.heard_at), engine.address,
             engine.protocol, entry.zone, seen.cores, seen.count, seen.threads, round(gateway.load(seen), 2),
-            round(trust, 3), round(warmth, 2), round(seen.strikes, 2), max(0.0, seen.heard_at),
-            max(0.0, seen.report_at), priorities=engine.protocol != "odata")
+            round(trust, 3), round(warmth, 2), round(seen.strikes, 2), self._unix(seen.heard_at),
+            self._unix(seen.report_at), priorities=engine.protocol != "odata")
 
     def _classes(self, live: list[Live]) -> dict[str, ClassView]:
         counters, gateway = self.coordinator.counters, self.coordinator.gateway
@@ -106,7 +113,7 @@
                 counters[f"answered.{how}.{spec.name}"] for how in ("served", "refused", "failed"))
             views[spec.name] = ClassView(
                 spec.name, k, len(mine), out, out * spec.threads, gateway.limits.get(k),
-                counters[f"taken.{spec.name}"], served, refused, failed, _oldest(mine))
+                counters[f"taken.{spec.name}"], served, refused, failed, self._oldest(mine))
         return views
 
     def _teams(self, live: list[Live]) -> dict[str, TeamView]:
@@ -117,9 +124,12 @@
         return {tenant.name: TeamView(
             tenant.name, t, len(by_team[t]), sum(each.call is not None for each in by_team[t]),
             sum(classes[each.query.klass].threads for each in by_team[t] if each.call is not None),
-            _oldest(by_team[t]), *self._outlook(t))
+            self._oldest(by_team[t]), *self._outlook(t))
             for t, tenant in enumerate(self.coordinator.settings.tenants)}
 
+    def _oldest(self, live: list[Live]) -> float:
+        return round(self._unix(live[0].taken_ms), 1) if live else 0.0
+
     def _outlook(self, team: int) -> tuple[int, float | None]:
         if (turns := self.coordinator.turns) is None:
             return 0, None
@@ -130,7 +140,7 @@
         teams = [tenant.name for tenant in self.coordinator.settings.tenants] or [""]
         return {str(each.id): RequestView(  # taken in order: the first are the oldest
             each.id, each.query.txn, each.query.lane, teams[each.query.tenant],
-            round(each.taken_ms, 1), round(each.deadline_ms, 1), each.attempts,
+            round(self._unix(each.taken_ms), 1), round(self._unix(each.deadline_ms), 1), each.attempts,
             each.engine if each.call is not None else "") for each in islice(live, REQUESTS_MOST)}
 
     def _refusals(self) -> dict[str, RefusalView]:
@@ -144,7 +154,8 @@
 
         me, shared = swim.update, self.shared
         views = {me.name: MemberView(
-            me.name, me.address, "mute" if swim.mute else STATES[me.state], me.incarnation, self.started_ms,
+            me.name, me.address, "mute" if swim.mute else STATES[me.state], me.incarnation,
+            self._unix(self._started_ms),
             own=True, health=swim.awareness.score,
             entries=len(shared.holder.entries) if shared is not None else 0,
             store_bytes=shared.disk.size_bytes if shared is not None else 0,
@@ -152,16 +163,17 @@
         for each in swim.members.values():
             doubt = each.suspicion
             views[each.name] = MemberView(
-                each.name, each.address, STATES[each.state], each.incarnation, each.since, each.by,
+                each.name, each.address, STATES[each.state], each.incarnation, self._unix(each.since),
+                each.by,
                 len(doubt.accusers) if doubt is not None else 0,
-                doubt.until if doubt is not None else 0.0, each.cut_off,
+                self._unix(doubt.until) if doubt is not None else 0.0, each.cut_off,
                 behind=shared.behind.get(each.name) if shared is not None else None)
         return views
 
     def _shares(self, now: float) -> dict[str, ShareView]:
         if self.budgets is None:
             return {}
-        rows = self.budgets.rows(now)
+        rows = self.budgets.rows(self._unix(now))
         return {f"{each.member}|{each.budget}": ShareView(**each._asdict()) for each in rows}
 
     def _adjustments(self) -> dict[str, AdjustmentView]:
@@ -183,7 +195,3 @@
         return "silent" if unheard_ms > SILENT_MS else "doubted"  # it answers, yet looks too idle to be sound
     return "warming" if warmth < 1.0 else "ready"
 
-
-def _oldest(live: list[Live]) -> float:
-    return round(live[0].taken_ms, 1) if live else 0.0
-
--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -19,7 +19,7 @@
 import h11
 import trio
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import monotonic_now
 from fordstair.lab.machine import Job, Machine
 
 READ_BYTES = 65_536
@@ -48,7 +48,7 @@
     """One engine. Faults are plain attributes and methods, to be used while it serves."""
 
     def __init__(self, name: str, machine: Machine, sessions: int = 64,
-                 clock: Callable[[], float] = now_ms, hall: str = "hall-a") -> None:
+                 clock: Callable[[], float] = monotonic_now, hall: str = "hall-a") -> None:
         self.name, self.machine, self.sessions, self.clock, self.hall = name, machine, sessions, clock, hall
         self.silent = self.draining = self.full = False
         self.address = ""
--- a/fordstair/lab/fault_shim.py
+++ b/fordstair/lab/fault_shim.py
@@ -1,8 +1,8 @@
 """The program with a stepped wall clock and failing system calls.
 
-Run it as ``python -m fordstair.lab.fault_shim`` with the arguments of ``python -m fordstair``. The faults stand in
-the JSON file that ``FORDSTAIR_FAULTS`` names. They are read at the start and again at each SIGUSR2, after which
-``fault_shim: applied`` goes to standard error: a test can wait for that line.
+Run it as ``python -m fordstair.lab.fault_shim`` with the arguments of ``python -m fordstair``. The faults
+stand in the JSON file that ``FORDSTAIR_FAULTS`` names. They are read at the start and again at each
+SIGUSR2, after which ``fault_shim: applied`` goes to standard error: a test can wait for that line.
 
     {"wall_step_ms": -3600000, "calls": {"connect": {"errno": "ENOBUFS", "chance": 0.2}}, "seed": 7}
 
--- a/fordstair/lab/ledger_trial.py
+++ b/fordstair/lab/ledger_trial.py
@@ -22,7 +22,7 @@
 import msgspec
 import trio
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import unix_now
 from fordstair.lab.appliance import ask_door, end, operator_file, ports_of
 from fordstair.lab.engine import StandIn
 from fordstair.lab.history import How, Operation
@@ -136,10 +136,11 @@
 
     def preload(self, name: str, count: int) -> None:
         """Put settled loads into an ended member's store, as if it had heard of them."""
-        disk, now = Disk(str(self.folder / f"{name}.ledger")), int(now_ms())
+        disk, now = Disk(str(self.folder / f"{name}.ledger")), int(unix_now().value)
         disk.open()
-        disk.write(of_entry(f"pindan-retail|before-{number}", Entry(f"before:1:{number}", now, b"x" * 200),
-                            600_000.0) for number in range(count))
+        entries = {f"pindan-retail|before-{number}": Entry(f"before:1:{number}", now, b"x" * 200)
+                   for number in range(count)}
+        disk.write(of_entry(key, entry) for key, entry in entries.items())
         disk.close()
 
     def written_bytes(self) -> int:
--- a/fordstair/logs/setup.py
+++ b/fordstair/logs/setup.py
@@ -9,20 +9,20 @@
 import structlog
 from structlog.typing import EventDict, WrappedLogger
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import monotonic_now
 from fordstair.core.events import FIELDS
 from fordstair.logs.repeats import Repeats
 from fordstair.logs.sink import Sink
 
 _PLAIN = (str, int, float, bool, type(None))
-Watcher = Callable[[float, str, str], None]  # time in ms, level, text
+Watcher = Callable[[float, str, str], None]  # monotonic time in ms, level, text
 
 
 class Log(logging.Handler):
     """The one handler of an appliance's log."""
 
     def __init__(self, sink: Sink, form: str, window_ms: float,
-                 clock: Callable[[], float] = now_ms) -> None:
+                 clock: Callable[[], float] = monotonic_now) -> None:
         super().__init__()
         self.sink, self.clock, self.repeats = sink, clock, Repeats(window_ms)
         self.watchers: list[Watcher] = []
--- a/fordstair/membership/transport.py
+++ b/fordstair/membership/transport.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import monotonic_now, unix_now
 from fordstair.core.events import Events
 from fordstair.membership.messages import DEAD, LARGEST, STATES
 from fordstair.membership.swim import Changed, Fleet, Swim
@@ -42,12 +42,13 @@
             await self._sock.bind((host, port))
             bound = self._sock.getsockname()[:2]
             address = self._told.address or address_text(bound)
-            # An incarnation from the clock: greater than that of an earlier life, which is not stored.
-            self.swim = Swim(replace(self._told, address=address), int(now_ms()), self._seed)
+            # Greater than that of an earlier life, which is not stored, unless the wall clock was stepped
+            # back meanwhile: then the others' word of the earlier life is refuted, with a greater one.
+            self.swim = Swim(replace(self._told, address=address), int(unix_now().value), self._seed)
             log.info("listening", name=self._told.name, front="fleet", host=bound[0], port=bound[1],
                      cluster=self._told.cluster, address=address,
                      seeds=",".join(self._told.seeds) or "none")
-            self.swim.start(now_ms())
+            self.swim.start(monotonic_now())
             await self._carry_out(self.swim)
             task_status.started()
             async with trio.open_nursery() as nursery:
@@ -60,7 +61,7 @@
             return
         log.info("fleet.leaves", member=self._told.name)
         for again in (False, True):
-            self.swim.leave(now_ms())
+            self.swim.leave(monotonic_now())
             await self._carry_out(self.swim)
             if not again:
                 await trio.sleep(LEAVE_MS / 1000.0)
@@ -79,18 +80,18 @@
                     raise
                 swim.counts["unreachable"] += 1
                 continue
-            self._guarded(swim, lambda: swim.receive(now_ms(), datagram, address_text(source)))  # noqa: B023
+            self._guarded(swim, lambda: swim.receive(monotonic_now(), datagram, address_text(source)))  # noqa: B023
             await self._carry_out(swim)
 
     async def _tick(self, swim: Swim) -> None:
         while True:
             self._wake = trio.Event()
             due = swim.next_due
-            wait_ms = 60_000.0 if due is None else max(0.0, due - now_ms())
+            wait_ms = 60_000.0 if due is None else max(0.0, due - monotonic_now())
             with trio.move_on_after(wait_ms / 1000.0):
                 await self._wake.wait()
             if not swim.left:
-                self._guarded(swim, lambda: swim.tick(now_ms()))
+                self._guarded(swim, lambda: swim.tick(monotonic_now()))
                 await self._carry_out(swim)
 
     def _guarded(self, swim: Swim, do: Callable[[], None]) -> None:
--- a/fordstair/net/closing.py
+++ b/fordstair/net/closing.py
@@ -27,7 +27,7 @@
     """
     if isinstance(stream, trio.abc.HalfCloseableStream):
         shut(stream)
-        with deadlines.limit(deadlines.clock() + LINGER_MS):
+        with deadlines.limit_for(LINGER_MS):
             await stream.send_eof()
             while await stream.receive_some(READ_BYTES):
                 pass
--- a/fordstair/net/command_channel.py
+++ b/fordstair/net/command_channel.py
@@ -9,6 +9,7 @@
 import trio
 
 from cairnhoist.interface import EngineEntry, EngineState, ListKind
+from fordstair.core.clock import UnixMs
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.events import Events
@@ -54,8 +55,9 @@
     for name, host, port, state, zone, kind, cell, weight, started in RECORD.iter_unpack(payload):
         if state >= len(_STATES):
             raise FrameError(f"unknown state {state}")
-        entry = EngineEntry(f"s-{name:08x}", _STATES[state], zone, cell, kind, float(started), weight / 1000)
-        engines.append(Engine(entry, f"{host[0]}.{host[1]}.{host[2]}.{host[3]}:{port}"))
+        entry = EngineEntry(f"s-{name:08x}", _STATES[state], zone, cell, kind, weight=weight / 1000)
+        address = f"{host[0]}.{host[1]}.{host[2]}.{host[3]}:{port}"
+        engines.append(Engine(entry, address, started=_started(started)))
     return engines
 
 
@@ -67,12 +69,18 @@
         entry = EngineEntry(
             str(line["id"]), _NAMES[line["state"]], _position(zones, line.get("zone")),
             int(line.get("cell", 0)), _position(kinds, line.get("kind")),
-            float(line.get("started_ms", 0)), float(line.get("weight", 1)))
-        engines.append(Engine(entry, str(line["addr"]), str(line.get("protocol", "rest"))))
+            weight=float(line.get("weight", 1)))
+        engines.append(Engine(entry, str(line["addr"]), str(line.get("protocol", "rest")),
+                              _started(line.get("started_ms", 0))))
     kind = ListKind.FULL if nodes.get("full") else ListKind.DELTA
     return int(command.get("cursor", 0)), kind, engines
 
 
+def _started(told: Any) -> UnixMs | None:
+    """Read the Unix time of a start; 0 says that it is long past."""
+    return UnixMs(float(told)) if float(told) > 0.0 else None
+
+
 def _position(names: list[str], name: object) -> int:
     return names.index(name) if isinstance(name, str) and name in names else 0
 
@@ -114,7 +122,7 @@
     async def _follow(self) -> None:
         host, _, port = self.channel.rpartition(":")
         with trio.socket.socket() as sock:
-            with self.deadlines.limit(self.deadlines.clock() + CONNECT_MS) as limit:
+            with self.deadlines.limit_for(CONNECT_MS) as limit:
                 await sock.connect((host, int(port)))
             if limit.cancelled_caught:
                 raise OSError("no connection")
@@ -122,7 +130,7 @@
             await stream.send_all(self.cursor.to_bytes(8, "big"))
             buffer = b""
             while True:
-                with self.deadlines.limit(self.deadlines.clock() + SILENCE_MS) as limit:
+                with self.deadlines.limit_for(SILENCE_MS) as limit:
                     chunk = await stream.receive_some(65_536)
                 if limit.cancelled_caught:
                     raise OSError("silence")
--- a/fordstair/net/door.py
+++ b/fordstair/net/door.py
@@ -33,6 +33,7 @@
     Verdict,
 )
 from fordstair.config import ConfigError
+from fordstair.core.clock import WallClock
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.events import Events
 from fordstair.feed.observe import Observer
@@ -78,13 +79,13 @@
     """Answers commands, judges adjustments, and feeds those that follow."""
 
     def __init__(self, name: str, coordinator: Coordinator, drain: Callable[[], None],
-                 watchers_most: int = 8, membership: Membership | None = None,
+                 wall_clock: WallClock, watchers_most: int = 8, membership: Membership | None = None,
                  shared: Service | None = None, budgets: FleetBudgets | None = None) -> None:
         self.coordinator, self.deadlines, self.drain = coordinator, coordinator.deadlines, drain
         self.watchers_most, self.connections = watchers_most, 0
         self.ledger = Ledger()
-        self.observer = Observer(name, coordinator, self.ledger, self.deadlines.clock(), membership, shared,
-                                 budgets)
+        self.wall_clock = wall_clock
+        self.observer = Observer(name, coordinator, self.ledger, wall_clock, membership, shared, budgets)
         if membership is not None:
             membership.listeners.append(lambda _: self.change())
         self.pace, self._changed, self._news = Pace(), True, trio.Event()
@@ -123,7 +124,7 @@
     def note(self, at_ms: float, level: str, text: str) -> None:
         """Take a line of the log for the pane."""
         self._last_note += 1
-        self.observer.notes.append(NoteView(self._last_note, at_ms, level, text))
+        self.observer.notes.append(NoteView(self._last_note, self.wall_clock.unix(at_ms).value, level, text))
         self.change()
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -147,7 +148,7 @@
     async def _answer_lines(self, stream: trio.SocketStream, who: str) -> None:
         buffer = bytearray()
         while True:
-            with self.deadlines.limit(self.deadlines.clock() + IDLE_MS) as idle:
+            with self.deadlines.limit_for(IDLE_MS) as idle:
                 chunk = await stream.receive_some(LARGEST_LINE)
             if idle.cancelled_caught or not chunk:
                 return
@@ -170,7 +171,7 @@
     async def _send(self, stream: trio.SocketStream, data: bytes, taken: Taken | None = None,
                     frames: int = 0) -> bool:
         """Send, and wait until so many frames were taken where that is told; False where it is cut."""
-        with self.deadlines.limit(self.deadlines.clock() + CUT_MS) as limit:
+        with self.deadlines.limit_for(CUT_MS) as limit:
             await stream.send_all(data)
             if taken is not None:
                 await taken.reach(frames)
@@ -261,7 +262,7 @@
     def _adjust(self, change: Change, told: dict[str, Any], who: str) -> dict[str, Any]:
         seen = told.get("seen")
         ruling = self.ledger.propose(
-            change, who, self.deadlines.clock(), self.standing(),
+            change, who, self.wall_clock.unix(self.deadlines.clock()).value, self.standing(),
             seen=seen if isinstance(seen, int) and not isinstance(seen, bool) else None,
             confirmed=told.get("confirmed") is True)
         log.info("adjustment", what=type(change).__name__, verdict=ruling.verdict.value, who=who,
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -132,7 +132,7 @@
                 await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
                 await self.side_call("DELETE", self.path)
                 if connection is not None:  # with its query gone the engine has nothing to wait for either
-                    with contextlib.suppress(Broken), self.deadlines.limit(self.deadlines.clock() + NEWS_MS):
+                    with contextlib.suppress(Broken), self.deadlines.limit_for(NEWS_MS):
                         await connection.rest()
             if limit.cancelled_caught:
                 # Nobody has taken the DELETE: behind a cut the query runs on until it goes unasked for too
@@ -178,7 +178,7 @@
         while True:
             connection = None
             try:
-                with self.deadlines.limit(self.deadlines.clock() + SILENT_MS) as silence:
+                with self.deadlines.limit_for(SILENT_MS) as silence:
                     connection = await self.pool.acquire(self.address, fresh=fresh)
                     answer = await self._get(connection, path, silence)
                     return self._read(connection, answer, read)
--- a/fordstair/net/identity.py
+++ b/fordstair/net/identity.py
@@ -113,7 +113,7 @@
             # files that are being replaced, or do not belong together yet: the old identity goes on
             self.counters.add("identity.failed_reads")
             log.warning("identity.kept", why=error)
-        self.deadlines.add(self.deadlines.clock() + LOOK_MS, self.watch)
+        self.deadlines.after(LOOK_MS, self.watch)
 
     def check(self, stream: trio.SSLStream[trio.SocketStream]) -> str:
         """Return the ID of the peer of a finished handshake; it must be of the trust domain."""
@@ -148,7 +148,7 @@
     async def secure(self, stream: trio.SocketStream) -> trio.SSLStream[trio.SocketStream] | None:
         """Do a client's handshake; None where it fails or takes too long."""
         secured = trio.SSLStream(stream, self.server, server_side=True, https_compatible=True)
-        with self.deadlines.limit(self.deadlines.clock() + HANDSHAKE_MS):
+        with self.deadlines.limit_for(HANDSHAKE_MS):
             try:
                 await secured.do_handshake()
                 return secured
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/msgpack_rpc.py
@@ -14,6 +14,7 @@
 from fordstair.core.coordinator import Coordinator, Live
 from fordstair.core.deadlines import Ticket
 from fordstair.core.events import Events
+from fordstair.core.invariants import Invariant
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
 from fordstair.net.closing import linger, shut
@@ -101,16 +102,16 @@
 
     def served(self, pages: Sequence[bytes]) -> None:
         """Answer with all rows."""
-        self.client.answer(self.number, None, [b"".join(pages), {}])
+        self.client.final(self.number, None, [b"".join(pages), {}])
 
     def refused(self, later_ms: float) -> None:
         """Answer that a retry is harmless, and when to make it."""
         fields = {"later": str(math.ceil(later_ms))} if later_ms > 0.0 else {}
-        self.client.answer(self.number, ["Overloaded", fields], None)
+        self.client.final(self.number, ["Overloaded", fields], None)
 
     def failed(self, reason: str) -> None:
         """Answer with an error that promises nothing."""
-        self.client.answer(self.number, ["Internal", {"reason": reason}], None)
+        self.client.final(self.number, ["Internal", {"reason": reason}], None)
 
 
 class RpcClient:
@@ -134,6 +135,7 @@
         self._scope = trio.CancelScope()
         self._waits: trio.CancelScope | None = None  # while it waits for bytes
         self._ended = self._short = self._reads = False
+        self._stuck = False  # its client has read no answer for long
         self._due: Ticket | None = None
 
     @property
@@ -166,6 +168,8 @@
                         await self._flushed.wait()
                     nursery.cancel_scope.cancel()
                 self.lingering = True
+                if self.open:  # it was read to its end, and all that was open answered or given up
+                    self.coordinator.invariants.violated(Invariant.NO_OPEN_CLOSED, open=len(self.open))
                 await linger(self.stream, self.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -192,12 +196,19 @@
 
     def shed(self) -> None:
         """End the connection at once: what comes from now on must not be read and dropped."""
+        if self.open and not self._stuck:
+            self.coordinator.invariants.violated(Invariant.NO_OPEN_CLOSED, open=len(self.open))
         self.stream.socket.close()
         self._scope.cancel()
 
+    def final(self, number: int, error: object, result: object) -> None:
+        """Queue the one final answer of a request that is open here."""
+        if self.open.pop(number, None) is None:
+            return self.coordinator.invariants.violated(Invariant.ONE_ANSWER, number=number)
+        self.answer(number, error, result)
+
     def answer(self, number: int, error: object, result: object) -> None:
         """Queue an answer; the writer sends it at once."""
-        self.open.pop(number, None)
         self.since_ms = self.deadlines.clock()
         self._unsent += msgpack.packb([RESPONSE, number, error, result], use_bin_type=True)
         self._stir.set()
@@ -206,10 +217,12 @@
         while True:
             while self._unsent:
                 out, self._unsent, self._sending = self._unsent, bytearray(), True
-                with self.deadlines.limit(self.deadlines.clock() + WRITE_MS) as limit:
+                with self.deadlines.limit_for(WRITE_MS) as limit:
                     await self.stream.send_all(out)
                 if limit.cancelled_caught:
                     self.coordinator.counters.add("client.stuck")
+                    log.info("client.stuck", open=len(self.open), unsent=len(out))
+                    self._stuck = True
                     return self.shed()
             self._sending = False
             self._flushed.set()
@@ -287,7 +300,7 @@
         await self.deadlines.sleep(min(PAUSE_MOST_MS, PAUSE_MS * self._faults))
 
     def _expect(self, ms: float) -> None:
-        self._due = self.deadlines.add(self.deadlines.clock() + ms, self._overdue)
+        self._due = self.deadlines.after(ms, self._overdue)
 
     def _whole(self) -> None:
         self.began_ms = 0.0
@@ -305,6 +318,7 @@
         if self._waits is None or self.unread or self.open or writes:  # or it is this program that is late
             return self._expect(UNREAD_MS)
         self.coordinator.counters.add("client.overdue")
+        log.debug("client.overdue", asked=self.asked)
         self._ended = True
         self._waits.cancel()
 
@@ -326,6 +340,7 @@
             number, _ = read(view, at)
         except (Incomplete, Malformed):
             pass
+        log.info("client.malformed", why=why, open=len(self.open))
         unanswered = _is_id(number) and (number > self._last or number in self.open)
         self._leave()
         if unanswered and view[0] == 0x94 and kind == REQUEST:
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/odata_front.py
@@ -116,7 +116,7 @@
         while len(self._kept) > self.most or (kept_bytes > RESULTS_BYTES and len(self._kept) > 1):
             kept_bytes -= self._kept.popitem(last=False)[1].size
         deadlines = self.coordinator.deadlines
-        deadlines.add(deadlines.clock() + self.keep_ms, partial(self._kept.pop, name, None))
+        deadlines.after(self.keep_ms, partial(self._kept.pop, name, None))
         return name
 
     def page(self, token: str, team: str) -> tuple[Result, int, str]:
@@ -205,12 +205,12 @@
         request, body = None, bytearray()
         deadlines = self.coordinator.deadlines
         if not self.http.trailing_data[0]:
-            with deadlines.limit(deadlines.clock() + (IDLE_MS if self.asked else WHOLE_MS)) as limit:
+            with deadlines.limit_for(IDLE_MS if self.asked else WHOLE_MS) as limit:
                 self.http.receive_data(await self.stream.receive_some(READ_BYTES))
             if limit.cancelled_caught:
                 self.coordinator.counters.add("odata.overdue")
                 return None, b""
-        with deadlines.limit(deadlines.clock() + WHOLE_MS):
+        with deadlines.limit_for(WHOLE_MS):
             while True:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
@@ -274,7 +274,7 @@
         if response.body:
             out += self.http.send(h11.Data(data=response.body)) or b""
         deadlines = self.coordinator.deadlines
-        with deadlines.limit(deadlines.clock() + WRITE_MS) as limit:
+        with deadlines.limit_for(WRITE_MS) as limit:
             await self.stream.send_all(out + (self.http.send(h11.EndOfMessage()) or b""))
         if limit.cancelled_caught:
             self.coordinator.counters.add("odata.stuck")
--- a/fordstair/net/pool.py
+++ b/fordstair/net/pool.py
@@ -114,7 +114,7 @@
                 waiter.stir, waiter.connecting = trio.Event(), trio.CancelScope()
                 self._open, endpoint.open = self._open + 1, endpoint.open + 1
                 self._nursery.start_soon(self._bring_up, waiter, waiter.connecting)
-                with self.deadlines.limit(self.deadlines.clock() + self.connect_ms):
+                with self.deadlines.limit_for(self.connect_ms):
                     await waiter.stir.wait()
         except BaseException:  # its request is over; a connection that was given to it meanwhile is not lost
             if waiter.connection is not None:
@@ -156,7 +156,7 @@
         for endpoint in list(self._endpoints.values()):
             while endpoint.idle and endpoint.idle[0].idle_since < edge:
                 self._retire(endpoint.idle.pop(0))
-        self.deadlines.add(self.deadlines.clock() + IDLE_MARGIN_MS, self.tidy)
+        self.deadlines.after(IDLE_MARGIN_MS, self.tidy)
 
     @property
     def _patience_ms(self) -> float:
@@ -268,7 +268,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream: trio.abc.Stream | None = None
             # A machine that vanished never answers a connect.
-            with self.deadlines.limit(self.deadlines.clock() + self._patience_ms):
+            with self.deadlines.limit_for(self._patience_ms):
                 await sock.connect((host.strip("[]"), int(port)))
                 plain = trio.SocketStream(sock)
                 if (context := self._tls(address)) is None:
--- a/fordstair/net/repeats.py
+++ b/fordstair/net/repeats.py
@@ -51,7 +51,7 @@
             raise ODataError(503, "TooManyRepeats", "no room to remember another load", {"Retry-After": "60"})
         self._known[team, name] = None
         deadlines = self.coordinator.deadlines
-        deadlines.add(deadlines.clock() + REPEAT_MS, partial(self._known.pop, (team, name), None))
+        deadlines.after(REPEAT_MS, partial(self._known.pop, (team, name), None))
         return team, name
 
     def end(self, ticket: tuple[str, str], response: Response | None) -> None:
--- a/fordstair/net/rest_engine.py
+++ b/fordstair/net/rest_engine.py
@@ -85,7 +85,7 @@
     async def hurry(self, urgency: int) -> None:
         """PUT a new priority; one that does not arrive is no harm."""
         if self.posted_ms and not self.ended:
-            with self.deadlines.limit(self.deadlines.clock() + DROP_MS):
+            with self.deadlines.limit_for(DROP_MS):
                 await self.side_call("PUT", self.path, str(urgency).encode())
 
     def read(self, answer: Answer) -> News:
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -10,14 +10,15 @@
 
 import trio
 
-from cairnhoist.interface import ListKind
+from cairnhoist.interface import EngineState, ListKind
 from fordstair.config import Config, ConfigError
-from fordstair.core.clock import StepWatch
+from fordstair.core.clock import AnchoredClock, WallClock
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.events import Events
 from fordstair.core.ports import Engine, Transport
+from fordstair.core.start_times import StartTimes
 from fordstair.net.command_channel import CommandChannel
 from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
 from fordstair.net.pool import Pool
@@ -54,6 +55,8 @@
     def __init__(self, config: Config, operator: Operator | None, load: Callable[[], Config]) -> None:
         self.config, self.operator, self.load = config, operator, load
         self.deadlines, self.counters, self.stop = Deadlines(), Counters(), trio.Event()
+        self.anchor, self.wall_clock = AnchoredClock(), WallClock()
+        self.start_times = StartTimes(self.anchor)
         self.listed = trio.Event()  # set by news of engines
         self.listeners: list[trio.SocketListener] = []
         self.identity: Identity | None = None
@@ -114,11 +117,11 @@
         if operator is not None and operator.console:
             from fordstair.net.door import Door
 
-            self.door = Door(config.name, self.coordinator, self.stop.set, operator.watchers,
+            self.door = Door(config.name, self.coordinator, self.stop.set, self.wall_clock, operator.watchers,
                              self.membership, self.ledger, self.budgets)
         self.bound()
         self.command_channel = CommandChannel(
-            config.channel, config.cursor, self.members, self.deadlines, self.counters)
+            config.channel, config.cursor, self.announced, self.deadlines, self.counters)
 
     def share_budgets(self, part: Part) -> None:
         """Take part in budgets that the fleet has together: what has its turn also needs this one's share."""
@@ -145,9 +148,18 @@
         secured = {engine.address for engine in engines if engine.protocol == "odata"}
         return self.identity.client if self.identity is not None and address in secured else None
 
-    def members(self, kind: ListKind, engines: list[Engine]) -> None:
+    def announced(self, kind: ListKind, engines: list[Engine]) -> None:
+        """Take news in as discovery tells it: what has changed has changed just now."""
+        self.members(kind, engines, announced=kind is ListKind.DELTA)
+
+    def members(self, kind: ListKind, engines: list[Engine], *, announced: bool = False) -> None:
         """Pass the register's news on, with the protocols that the operator has set."""
         for engine in engines:
+            name = engine.entry.engine
+            started_ms = self.start_times.moment(name, engine.started, announced=announced)
+            engine.entry = replace(engine.entry, started_ms=started_ms)
+            if engine.entry.state is EngineState.GONE:
+                self.start_times.forget(name)
             if self.operator is not None:
                 engine.protocol = self.operator.engines.get(engine.entry.engine, engine.protocol)
         self.coordinator.members(kind, engines)
@@ -166,7 +178,7 @@
         def take_over() -> None:
             if told or self.command_channel.heard_ms > 0.0:
                 return
-            engines = restored.engines(self.deadlines.clock(), ledger.engines)
+            engines = restored.engines(self.anchor.now().value, ledger.engines)
             here = {(each.entry, each.address) for each in self.coordinator.engines.values()}
             if engines and {(each.entry, each.address) for each in engines} != here:
                 log.warning("engines.restored", engines=len(engines))
@@ -181,9 +193,9 @@
             self.listed = trio.Event()
             heard_ms = max(heard_ms if told else 0.0, self.command_channel.heard_ms)
             if heard_ms > 0.0 and self.coordinator.engines and not await ledger.follow_engines(
-                    heard_ms, kept(self.coordinator.engines.values())):
+                    self.anchor.unix(heard_ms).value, kept(self.coordinator.engines.values())):
                 log.warning("engines.not_kept", why=ledger.writer.broken)
-            with self.deadlines.limit(self.deadlines.clock() + KEEP_MS):
+            with self.deadlines.limit_for(KEEP_MS):
                 await self.listed.wait()
 
     async def share_costs(self, ledger: Service) -> None:
@@ -251,10 +263,9 @@
 
     async def watch_clock(self) -> None:
         """Log and count steps of the wall clock, for whoever reads times in logs."""
-        watch = StepWatch()
         while True:
-            await trio.sleep(CLOCK_WATCH_MS / 1000.0)
-            if step_ms := watch.look():
+            await self.deadlines.sleep(CLOCK_WATCH_MS)
+            if step_ms := self.wall_clock.look():
                 self.counters.add("clock.steps")
                 log.warning("clock.stepped", by_ms=round(step_ms))
 
--- a/fordstair/replication/engines.py
+++ b/fordstair/replication/engines.py
@@ -19,6 +19,7 @@
 from msgspec import Meta, Struct
 
 from cairnhoist.interface import EngineEntry, EngineState
+from fordstair.core.clock import UnixMs
 from fordstair.core.ports import Engine
 from fordstair.replication.clock import AHEAD_MOST_MS, Milliseconds
 
@@ -144,7 +145,7 @@
 def kept(engines: Iterable[Engine]) -> list[Kept]:
     """Return those that are listed as ready, as they are kept."""
     return [Kept(each.entry.engine, each.address, each.protocol, each.entry.zone, each.entry.cell,
-                 each.entry.kind, each.entry.started_ms, each.entry.weight)
+                 each.entry.kind, each.started.value if each.started is not None else 0.0, each.entry.weight)
             for each in engines if each.entry.state is EngineState.READY]
 
 
@@ -170,5 +171,6 @@
         self._told = {each: self._told.get(each, each.started_ms if age_ms < self.cold_ms else now_ms)
                       for each in here}
         return [Engine(EngineEntry(each.name, EngineState.READY, each.zone, each.cell, each.kind,
-                                   self._told[each], each.weight), each.address, each.protocol)
+                                   weight=each.weight), each.address, each.protocol,
+                       UnixMs(self._told[each]) if self._told[each] > 0.0 else None)
                 for each in sorted(here)]
--- a/fordstair/replication/records.py
+++ b/fordstair/replication/records.py
@@ -33,9 +33,12 @@
     roster: Roster | None = None
 
 
-def of_entry(key: str, entry: Entry, keep_ms: float) -> Record:
-    """Return the record of an entry of the ledger."""
-    return Record(CLAIM, key.encode(), msgspec.msgpack.encode(entry), int(entry.granted_ms + keep_ms))
+def of_entry(key: str, entry: Entry) -> Record:
+    """Return the record of an entry of the ledger, which no reading of the wall clock drops.
+
+    A claim that is forgotten too early lets its load run twice. Its holder drops it, by real time.
+    """
+    return Record(CLAIM, key.encode(), msgspec.msgpack.encode(entry))
 
 
 def of_value(key: str, value: Register, keep_ms: float) -> Record:
@@ -63,7 +66,10 @@
             told.entries.append((record.key.decode(errors="replace"), Entry(UNKNOWN_TOKEN, int(now_ms))))
         elif record.kind == CLAIM and record.value is not None:
             try:
-                told.entries.append((record.key.decode(), _entries.decode(record.value)))
+                # How long the program was down is not known, and the wall clock may have been stepped
+                # meanwhile: each claim is kept for its whole time once more.
+                kept = msgspec.structs.replace(_entries.decode(record.value), granted_ms=int(now_ms))
+                told.entries.append((record.key.decode(), kept))
             except (msgspec.MsgspecError, UnicodeDecodeError):
                 told.doubted = "a record cannot be read"
         elif record.kind == VALUE and record.value is not None:
--- a/fordstair/replication/service.py
+++ b/fordstair/replication/service.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import AnchoredClock
 from fordstair.core.events import Events
 from fordstair.replication.clock import AHEAD_MOST_MS
 from fordstair.replication.engines import EngineSet, Kept, Roster
@@ -113,6 +113,7 @@
 
     def __init__(self, told: Ledger, seed: int) -> None:
         self.told, self._random = told, random.Random(seed)
+        self._clock = AnchoredClock()  # steps of the wall clock neither forget nor keep anything
         self.counts: Counter[str] = Counter()
         self.holder = Holder(told.member, told.holders, told.replicas, told.repeat_ms, told.entries_most)
         self.holder.doubted = "the store is not read yet"
@@ -127,12 +128,15 @@
         self.behind: dict[str, int] = {}  # ranges in which another member differed when last compared
         self._links = {name: Link(told.cluster, told.member, address, _host_of(told))
                        for name, address in told.holders.items() if name != told.member}
-        self._token = f"{told.member}:{int(now_ms())}:{seed & 0xffffff:x}"
+        self._token = f"{told.member}:{int(self._now_ms())}:{seed & 0xffffff:x}"
         self._numbers = itertools.count(1)
         self._nursery: trio.Nursery | None = None
         self._new_until = -math.inf
         self.port = 0
 
+    def _now_ms(self) -> float:
+        return self._clock.now().value
+
     # Claims
 
     async def begin(self, key: str) -> tuple[Verdict, Begun | None, bytes | None]:
@@ -232,7 +236,7 @@
         holder = self.holder
         match frame:
             case AskClaim(number, key, token):
-                answer, entry = holder.claim(now_ms(), key, token)
+                answer, entry = holder.claim(self._now_ms(), key, token)
                 said = Said(number, answer.word.value, answer.token, answer.outcome)
                 # Where the write fails nobody knows what is on disk: it stays granted, and is not said to be.
                 return self._decided(said, Said(number, Word.CANNOT.value, "", None), key, entry)
@@ -240,16 +244,16 @@
                 gone = [Record(CLAIM, key.encode(), None)] if holder.release(key, token) else []
                 return Decided(Done(number, True), Done(number, False), self._add(gone))
             case AskSettle(number, key, token, outcome):
-                entry = holder.settle(now_ms(), key, token, outcome)
+                entry = holder.settle(self._now_ms(), key, token, outcome)
                 return self._decided(Done(number, True), Done(number, False), key, entry)
             case AskDigests(number):
-                holder.expire(now_ms())
+                holder.expire(self._now_ms())
                 return Decided(Digests(number, list(holder.digests[member])))
             case AskRange(number, which, after, grants):
                 page, more = holder.page(which, after, PAGE_BYTES, grants=grants)
                 return Decided(Page(number, page, more, bool(holder.doubted), self.new))
             case AskValueDigests(number):
-                self.values.expire(now_ms())
+                self.values.expire(self._now_ms())
                 return Decided(Digests(number, list(self.values.digests)))
             case AskValues(number, which, after):
                 return Decided(Values(number, *self.values.page(which, after, PAGE_BYTES)))
@@ -260,7 +264,7 @@
         raise Malformed("no question")
 
     def _decided(self, ok: Told, failed: Told, key: str, entry: Entry | None) -> Decided:
-        kept = [of_entry(key, entry, self.told.repeat_ms)] if entry is not None else []
+        kept = [of_entry(key, entry)] if entry is not None else []
         return Decided(ok, failed, self._add(kept))
 
     def _add(self, records: Sequence[Record]) -> Batch | None | StoreFailed:
@@ -292,7 +296,7 @@
         """Read the store, again and again until that can be done: the rest of the program goes on without."""
         while True:
             try:
-                self.take_in(await trio.to_thread.run_sync(read, self.disk, now_ms()))
+                self.take_in(await trio.to_thread.run_sync(read, self.disk, self._now_ms()))
                 return
             except StoreDamaged as error:
                 log.error("store.damaged", why=error, kept_as=self.disk.put_aside())
@@ -305,9 +309,9 @@
         """Go on with what the store has kept; what was heard meanwhile stays, by the rule for copies."""
         self.holder.load(told.entries)
         for key, value in told.values:
-            self.values.take(now_ms(), key, value)
+            self.values.take(self._now_ms(), key, value)
         if told.roster is not None:
-            self.engines.merge(now_ms(), told.roster)
+            self.engines.merge(self._now_ms(), told.roster)
         self.counts["spoilt"] += told.spoilt
         if self.disk.fresh:
             self._new_until = math.inf
@@ -368,8 +372,8 @@
 
     async def _forget(self) -> None:
         """Take what has expired off the disk too."""
-        self.holder.expire(now_ms())
-        self.values.expire(now_ms())
+        self.holder.expire(self._now_ms())
+        self.values.expire(self._now_ms())
         for kind, part in ((CLAIM, self.holder), (VALUE, self.values)):
             gone, part.gone = part.gone, []
             if gone and not await self._put([Record(kind, key.encode(), None) for key in gone]):
@@ -379,7 +383,7 @@
 
     async def set_values(self, values: Iterable[tuple[str, bytes]]) -> None:
         """Set values here and now; others get them by exchange. What cannot be written stays in memory."""
-        now = now_ms()
+        now = self._now_ms()
         await self._keep([(key, done) for key, value in values
                           if (done := self.values.set(now, key, value)) is not None])
 
@@ -397,7 +401,7 @@
                 page = await self._ask(
                     name, lambda number: AskValues(number, which, after), Values)  # noqa: B023
                 changed = [(key, value) for key, theirs in page.values
-                           if (value := self.values.take(now_ms(), key, theirs)) is not None]
+                           if (value := self.values.take(self._now_ms(), key, theirs)) is not None]
                 await self._keep(changed)
                 taken += len(changed)
                 after, more = page.values[-1][0] if page.values else "", page.more and bool(page.values)
@@ -409,14 +413,14 @@
 
     async def follow_engines(self, heard_ms: float, listed: Iterable[Kept]) -> bool:
         """Take in what the register lists here, and when it was heard; False where it is not on disk."""
-        self.engines.follow(now_ms(), heard_ms, listed)
+        self.engines.follow(self._now_ms(), heard_ms, listed)
         return await self._put([of_roster(self.engines.roster)])
 
     async def _exchange_engines(self, name: str) -> None:
         told = await self._ask(name, lambda number: AskEngines(number, self.engines.digest), Engines)
         theirs = told.roster or Roster([], {}, told.heard_ms)
         heard_ms = self.engines.heard_ms
-        if self.engines.merge(now_ms(), theirs):
+        if self.engines.merge(self._now_ms(), theirs):
             self.counts["engines_taken"] += 1
         elif self.engines.heard_ms == heard_ms:
             return
@@ -445,7 +449,7 @@
         pulled, began = Pulled(), trio.current_time()
         try:
             told = (await self._ask(name, lambda number: AskDigests(number), Digests)).told
-            self.holder.expire(now_ms())
+            self.holder.expire(self._now_ms())
             mine = self.holder.digests[name]
             differ = [which for which, digest in enumerate(told) if digest != mine[which]]
             self.behind[name] = len(differ)
@@ -494,12 +498,12 @@
                 raise Lost("no page in time")
             pulled.doubted, pulled.new = pulled.doubted or page.doubted, pulled.new and page.new
             # what is dated ahead of every clock would never be forgotten
-            latest = now_ms() + AHEAD_MOST_MS
+            latest = self._now_ms() + AHEAD_MOST_MS
             changed = [(key, entry) for key, theirs in page.entries
                        if theirs.granted_ms < latest and self._holds(key)
                        and (entry := self.holder.take(key, theirs)) is not None]
             pulled.changed += len(changed)
-            records = [of_entry(key, entry, self.told.repeat_ms) for key, entry in changed]
+            records = [of_entry(key, entry) for key, entry in changed]
             if records and not await self._put(records):
                 raise Lost("the store cannot be written")
             after, more = page.entries[-1][0] if page.entries else "", page.more and bool(page.entries)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,7 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
-from fordstair.core.clock import now_ms
+from fordstair.core.clock import monotonic_now
 from fordstair.net.pool import ConnectFailed, Pool, PooledConnection
 from fordstair.program import Program as Coordination
 from tests.standins import (
@@ -259,7 +259,7 @@
     async def scene() -> None:
         async with engine() as one, inside(config(one.address)) as node:
             ahead = [0.0]
-            node.deadlines.clock = lambda: now_ms() + ahead[0]
+            node.deadlines.clock = lambda: monotonic_now() + ahead[0]
             where = node.listeners[0].socket.getsockname()
             node.stop.set()
             await until(lambda: node.coordinator.draining)
@@ -508,7 +508,7 @@
     async def scene() -> None:
         async with engine(breaks) as one, inside(config(one.address, settings=keyed(5_000.0))) as node:
             ahead = [0.0]
-            node.deadlines.clock = lambda: now_ms() + ahead[0]
+            node.deadlines.clock = lambda: monotonic_now() + ahead[0]
             node.pool.connect_ms = 20_000.0
             client, gate = await connect(node), list[Gate]()
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -26,6 +26,7 @@
     Standing,
     Verdict,
 )
+from fordstair.core.clock import WallClock
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
@@ -116,7 +117,7 @@
     """Two modules of the same seed, one of them looked at all the time: they decide alike."""
     told = site_settings(load_file(str(APPLIANCE), whole=True))
     plain, watched = (Coordinator(told, 7, {}, Deadlines(lambda: 0.0), Counters()) for _ in range(2))
-    observer = Observer("x", watched, Ledger(), 0.0)
+    observer = Observer("x", watched, Ledger(), WallClock())
     named = set()
     for one in (plain, watched):
         one.members(ListKind.FULL, [Engine(entry(n), f"127.0.0.1:{n}") for n in range(1, 4)])
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,6 +12,7 @@
 
 from cairnhoist.interface import EngineState
 from fordstair.config import ConfigError, flatten, parse
+from fordstair.core.clock import UnixMs
 from fordstair.core.statements import table_group
 from fordstair.net.command_channel import FrameError, read_frame, read_records
 from fordstair.net.messagepack import Incomplete, Malformed, read
@@ -89,7 +90,7 @@
                 entry = engine.entry
                 assert (entry.engine, entry.state, engine.address) == (
                     "s-00c41f7a", EngineState.DRAINING, "10.1.0.9:6565")
-                assert (entry.zone, entry.cell, entry.weight, entry.started_ms) == (2, 3, 4.0, 77.0)
+                assert (entry.zone, entry.cell, entry.weight, engine.started) == (2, 3, 4.0, UnixMs(77.0))
             buffer = buffer[length:]
     assert seen == events and not buffer
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -13,10 +13,12 @@
 from hypothesis import strategies as st
 
 from benchmarks.budgets import SHARES, play, told
+from cairnhoist.interface import Effect
 from fordstair.core.coordinator import Coordinator, Live
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import Query
+from fordstair.core.send_guard import SendGuard
 from fordstair.core.turns import Turns
 from fordstair.lab.appliance import appliance
 from fordstair.lab.billing_close import Shape, generate, read, write
@@ -312,7 +314,8 @@
     replies = [Reply(), Reply()]
     for number, reply in enumerate(replies):
         query = Query(f"{number:016x}", "lookup", 0, 0, 6_000.0, b"", cost_ms=10.0)
-        live = one.live[number] = turns._lives[number] = Live(number, query, reply, 1e6, 1e6 + 6_000.0)
+        live = one.live[number] = turns._lives[number] = Live(
+            number, query, reply, 1e6, 1e6 + 6_000.0, SendGuard(Effect.SAFE, 0.0))
         assert turns.scheduler.arrive(Told(number, 0, 0, 1, 10.0, math.inf), 1e6).refused is None
         assert live.order is None
     assert turns.withdraw(one.live[0]) and not turns.withdraw(one.live[0])
--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -14,8 +14,16 @@
 import trio
 import ujson
 
+from cairnhoist.interface import Effect, Status
+from fordstair.core.clock import AnchoredClock, MonotonicMs, UnixMs, WallClock
+from fordstair.core.invariants import Invariant
+from fordstair.core.send_guard import Denial, SendGuard
+from fordstair.core.start_times import NEWS_LATE_MOST_MS, StartTimes
 from fordstair.lab.fault_shim import APPLIED, ENVIRONMENT_VARIABLE
-from tests.standins import Answered, Program, RestEngine, at_once, config, engine, program
+from fordstair.replication.ledger import Entry
+from fordstair.replication.records import of_entry, read
+from fordstair.store.disk import Disk
+from tests.standins import Answered, Program, RestEngine, at_once, config, connect, engine, inside, program
 
 HOUR_MS = 3_600_000.0
 STEPS_MS = (-HOUR_MS, -5_000.0, 5_000.0, HOUR_MS)
@@ -122,3 +130,127 @@
             assert error[0] == "Internal" and 1.5 < trio.current_time() - start < 2.5
 
     trio.run(scene)
+
+
+# --- the clocks -----------------------------------------------------------------------------------
+
+
+class Clocks:
+    """A monotonic and a wall clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.monotonic_ms, self.wall_ms = 1_000_000.0, 1.7e12
+
+    def monotonic(self) -> MonotonicMs:
+        return MonotonicMs(self.monotonic_ms)
+
+    def unix(self) -> UnixMs:
+        return UnixMs(self.wall_ms)
+
+    def pass_time(self, span_ms: float, step_ms: float = 0.0) -> None:
+        self.monotonic_ms += span_ms
+        self.wall_ms += span_ms + step_ms
+
+
+def test_unix_time_mixes_with_no_span() -> None:
+    with pytest.raises(TypeError):
+        UnixMs(1.0) - UnixMs(0.0)  # type: ignore[operator]
+    with pytest.raises(TypeError):
+        assert UnixMs(1.0) < 2.0  # type: ignore[operator]
+
+
+@pytest.mark.parametrize("step_ms", STEPS_MS)
+def test_an_anchored_clock_ignores_steps_and_a_wall_clock_follows_them(step_ms: float) -> None:
+    clocks = Clocks()
+    anchored = AnchoredClock(clocks.monotonic, clocks.unix)
+    wall = WallClock(clocks.monotonic, clocks.unix)
+    clocks.pass_time(500.0, step_ms)
+    assert anchored.now() == UnixMs(1.7e12 + 500.0)
+    assert anchored.monotonic(anchored.now()) == clocks.monotonic_ms
+    assert wall.look() == step_ms and wall.look() == 0.0
+    assert wall.unix(clocks.monotonic_ms) == clocks.unix()
+
+
+@pytest.mark.parametrize("step_ms", STEPS_MS)
+def test_a_step_makes_no_cold_engine_look_warm_and_none_cold_for_long(step_ms: float) -> None:
+    clocks = Clocks()
+    starts = StartTimes(AnchoredClock(clocks.monotonic, clocks.unix), clocks.monotonic)
+    before = starts.moment("a", UnixMs(clocks.wall_ms - 3_000.0), announced=False)
+    started = UnixMs(clocks.wall_ms + 1_000.0)
+    clocks.pass_time(2_000.0, step_ms)
+    assert clocks.monotonic_ms - starts.moment("b", started, announced=True) == 1_000.0
+    assert starts.moment("a", UnixMs(1.7e12 - 3_000.0), announced=False) == before == 997_000.0
+    assert starts.moment("c", None, announced=True) == 0.0
+
+
+@pytest.mark.parametrize("ahead_ms", [HOUR_MS, -HOUR_MS])
+def test_news_of_a_start_shows_a_clock_that_was_wrong_from_the_first(ahead_ms: float) -> None:
+    clocks = Clocks()
+    true_wall_ms, clocks.wall_ms = clocks.wall_ms, clocks.wall_ms + ahead_ms
+    starts = StartTimes(AnchoredClock(clocks.monotonic, clocks.unix), clocks.monotonic)
+    assert starts.moment("a", UnixMs(true_wall_ms - 10.0), announced=True) == clocks.monotonic_ms
+    late = UnixMs(clocks.wall_ms - NEWS_LATE_MOST_MS + 1.0)
+    assert starts.moment("b", late, announced=True) < clocks.monotonic_ms - 50_000.0
+    starts.forget("a")
+    clocks.pass_time(1_000.0)
+    assert starts.moment("a", UnixMs(true_wall_ms), announced=True) == clocks.monotonic_ms
+
+
+def test_a_claim_is_kept_over_a_restart_whatever_the_wall_clock_says(tmp_path: Path) -> None:
+    disk, granted_ms = Disk(str(tmp_path / "ledger")), 1_700_000_000_000
+    disk.open()
+    disk.write([of_entry("key", Entry("a:1:1", granted_ms))])
+    disk.close()
+    later_ms = granted_ms + 10 * HOUR_MS  # a step, or a long time down: nobody can tell
+    assert read(Disk(disk.path), later_ms).entries == [("key", Entry("a:1:1", int(later_ms)))]
+
+
+# --- the guard ------------------------------------------------------------------------------------
+
+
+def attempt(guard: SendGuard, status: Status, *, at_ms: float = 0.0, loose: bool = False) -> None:
+    """Let an attempt begin and end."""
+    assert guard.denial(at_ms) is None
+    guard.begin(at_ms)
+    assert guard.denial(at_ms) is Denial.ANOTHER_OUT
+    guard.end(status, loose=loose)
+
+
+@pytest.mark.parametrize("status", [each for each in Status if each is not Status.OK])
+@pytest.mark.parametrize("effect", list(Effect))
+def test_the_guard_allows_a_repeat_by_what_may_have_run_at_any_time(effect: Effect, status: Status) -> None:
+    for later_ms in (-HOUR_MS, 0.0, 4_999.0, HOUR_MS):
+        guard = SendGuard(effect, window_ms=5_000.0)
+        attempt(guard, status, at_ms=0.0)
+        expected = None
+        if not status.proves_unrun and effect is Effect.UNSAFE:
+            expected = Denial.MAY_HAVE_RUN
+        elif not status.proves_unrun and effect is Effect.KEYED and later_ms > 5_000.0:
+            expected = Denial.WINDOW_OVER
+        assert guard.denial(later_ms) is expected
+
+
+def test_the_guard_knows_what_may_begin_yet_and_what_never_began() -> None:
+    guard = SendGuard(Effect.SAFE, 0.0)
+    guard.end(Status.TIMEOUT, loose=True)  # its connection never came up
+    attempt(guard, Status.RESET, loose=True)
+    assert guard.denial(0.0) is Denial.ANOTHER_OUT
+    assert Denial.ANOTHER_OUT.violates is Invariant.ONE_ATTEMPT_OUT
+    assert Denial.REQUEST_OVER.violates is None
+
+
+def test_what_the_module_orders_against_the_rule_is_counted_and_not_sent(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cairnhoist.logic.must_not_repeat", lambda request: False)
+
+    async def scene() -> None:
+        held = HeldEngine(LOST)
+        held.gate.set()
+        async with engine(held) as one, engine(held) as two, \
+                inside(config(one.address, two.address)) as node:
+            client = await connect(node)
+            error, _ = await client.answer(await client.ask("meter-load", limit="20000"))
+            assert (error[0], len(one.posts) + len(two.posts)) == ("Internal", 1)
+            assert node.counters["violation.unsafe_repeat"] == 1
+
+    trio.run(scene)
