--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
@@ -76,12 +76,24 @@
             self._end(run, "lost")
         self.ended.clear()
         self.machine.restart(self.clock())
+        self.reset_connections()
+        self._spoken.set()
+
+    def reset_connections(self) -> None:
+        """Reset all connections, whatever is under way on them; what runs goes on."""
         for stream in list(self._streams):
             with suppress(OSError, trio.ClosedResourceError):
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 stream.socket.close()
+
+    def speak_again(self) -> None:
+        """End a silence; what came meanwhile is taken up now."""
+        self.silent = False
         self._spoken.set()
 
+    def noticed(self, method: str, fields: Mapping[str, str]) -> None:
+        """Called as each call has come whole, before it is taken up; for those who look on."""
+
     def slow_down(self, times: float) -> None:
         """Everything takes that many times longer; 1 is as usual."""
         self._advance()
@@ -146,6 +158,7 @@
                     body += event.data
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
                     self.counts[f"read.{request.method.decode()}"] += 1
+                    self.noticed(request.method.decode(), _fields(request))
                     await self._spoken.wait()
                     status, headers, text = await self._answer(request, bytes(body))
                     await self._spoken.wait()
@@ -165,7 +178,7 @@
 
     async def _answer(self, request: h11.Request, body: bytes) -> tuple[int, list[tuple[str, str]], bytes]:
         method, path = request.method.decode(), request.target.decode()
-        fields = {name.decode(): value.decode() for name, value in request.headers}
+        fields = _fields(request)
         self.counts[method] += 1
         if method == "POST" and path == "/o":
             return await self._post(fields, body)
@@ -252,6 +265,10 @@
         return "X-Gauges", self._report
 
 
+def _fields(request: h11.Request) -> dict[str, str]:
+    return {name.decode(): value.decode() for name, value in request.headers}
+
+
 def pages_of(txn: str, rows: int) -> list[bytes]:
     """Return that many rows of three columns, as pages of whole rows."""
     pages, page = list[bytes](), bytearray()
--- /dev/null
+++ b/fordstair/lab/soak/__main__.py
@@ -0,0 +1,39 @@
+"""Soaks with many seeds: ``python -m fordstair.lab.soak --seeds 1-20``; exits with 1 if a rule was broken."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from dataclasses import replace
+
+from fordstair.lab.soak.run import LAG_MOST_S, Plan, soak
+
+
+def main() -> int:
+    """Run the seeds one after the other, and print a report of each."""
+    parser = argparse.ArgumentParser(prog="python -m fordstair.lab.soak", description=__doc__)
+    parser.add_argument("--seeds", default="1-5", metavar="FIRST-LAST")
+    usual = Plan(0)
+    parser.add_argument("--seconds", type=float, default=usual.seconds)
+    parser.add_argument("--coordinators", type=int, default=usual.coordinators)
+    parser.add_argument("--engines", type=int, default=usual.engines)
+    parser.add_argument("--faults-per-s", type=float, default=usual.faults_per_s)
+    parser.add_argument("--rate-per-s", type=float, default=usual.rate_per_s)
+    told = parser.parse_args()
+    first, _, last = told.seeds.partition("-")
+    plan = Plan(0, told.seconds, told.coordinators, told.engines, told.faults_per_s, told.rate_per_s)
+    broken, late = list[int](), list[int]()
+    for seed in range(int(first), int(last or first) + 1):
+        report = soak(replace(plan, seed=seed))
+        print(report, flush=True)
+        if report.record.worst_lag_s > LAG_MOST_S:
+            late.append(seed)  # the machine was too busy to judge
+        elif report.violations:
+            broken.append(seed)
+    print(f"seeds with violations: {broken or 'none'}")
+    print(f"seeds not judged, since the machine was too busy: {late or 'none'}")
+    return 1 if broken or late else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fordstair/lab/soak/clients.py
@@ -0,0 +1,156 @@
+"""Clients of a soak: open-loop requests, some cancelled, some written slowly, some left behind."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgpack
+import trio
+
+from fordstair.lab.soak.coordinators import CoordinatorProcess
+from fordstair.lab.soak.records import RequestRecord, SoakRecord
+
+READ_BYTES = 65_536
+OPEN_MOST = 24  # on one connection
+LANES = (("lookup", 0.6, 40.0, 4.0), ("settlement", 0.15, 300.0, 6.0), ("meter-load", 0.25, 200.0, 6.0))
+TIGHT_SHARE, TIGHT_S = 0.05, 0.12  # requests with very little time left
+CANCEL_SHARE, LEAVE_SHARE, SLOW_SHARE = 0.04, 0.01, 0.04
+TEAM = "karri-energy"
+
+
+class Connection:
+    """One connection of a client."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream, self.lock = stream, trio.Lock()
+        self.last = 0
+        self.open: dict[int, RequestRecord] = {}
+        self.asked: dict[int, RequestRecord] = {}
+        self.over = False
+
+
+class Clients:
+    """All clients of one coordinator."""
+
+    def __init__(self, coordinator: CoordinatorProcess, record: SoakRecord, seed: int, rate_per_s: float,
+                 start_s: float) -> None:
+        self._coordinator, self._record, self._rate = coordinator, record, rate_per_s
+        self._random, self._start_s = Random(seed), start_s
+        self._connections: list[Connection] = []
+        self._salt, self._number = self._random.getrandbits(32), 0
+
+    def _now_s(self) -> float:
+        return trio.current_time() - self._start_s
+
+    async def run(self, until_s: float) -> None:
+        """Send requests until that time, and wait for what is open."""
+        async with trio.open_nursery() as nursery:
+            while self._now_s() < until_s:
+                await trio.sleep(self._random.expovariate(self._rate))
+                if self._coordinator.ready:
+                    nursery.start_soon(self._ask, nursery)
+            longest_s = max(limit_s for *_, limit_s in LANES)
+            with trio.move_on_after(longest_s + 3.0):
+                while any(each.open for each in self._connections):
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+    async def _ask(self, nursery: trio.Nursery) -> None:
+        if (connection := await self._connection(nursery)) is None:
+            return
+        lane, _, work_ms, limit_s = self._random.choices(LANES, [share for _, share, *_ in LANES])[0]
+        if self._random.random() < TIGHT_SHARE:
+            limit_s = TIGHT_S
+        self._number += 1
+        txn = f"{self._salt:08x}{self._number:08x}"
+        work_ms = self._random.expovariate(1.0 / work_ms)
+        fields = {"txn": txn, "limit": str(int(limit_s * 1e3)), "team": TEAM, "cpu": f"{work_ms + 1.0:.1f}",
+                  "need_mb": "16"}
+        body = b"/* work=%.1f rows=2 */ SELECT a FROM t_%d.lines" % (work_ms, self._number % 5)
+        async with connection.lock:
+            connection.last += 1
+            number = connection.last
+            request = RequestRecord(txn, lane, self._coordinator.name, self._now_s(), limit_s)
+            data = msgpack.packb([0, number, lane, [fields, body]])
+            if not await self._write(connection, data):
+                return  # it was never written whole: nobody owes it an answer
+            request.sent_s = self._now_s()
+            self._record.requests.append(request)
+            if connection.over:
+                request.closed_s = self._now_s()
+                return
+            connection.open[number] = connection.asked[number] = request
+        await self._maybe_go(connection, number, request)
+
+    async def _write(self, connection: Connection, data: bytes) -> bool:
+        try:
+            if self._random.random() < SLOW_SHARE:
+                cut = self._random.randrange(1, len(data))
+                await connection.stream.send_all(data[:cut])
+                await trio.sleep(self._random.uniform(0.05, 0.3))
+                data = data[cut:]
+            await connection.stream.send_all(data)
+            return True
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+
+    async def _maybe_go(self, connection: Connection, number: int, request: RequestRecord) -> None:
+        """Cancel the request, or leave with all that is open on its connection, or do neither."""
+        draw = self._random.random()
+        if draw > CANCEL_SHARE + LEAVE_SHARE:
+            return
+        await trio.sleep(self._random.uniform(0.0, 0.3))
+        if draw > CANCEL_SHARE:
+            for each in connection.open.values():
+                each.gone_s = self._now_s()
+            connection.open.clear()
+            self._drop(connection)
+            await trio.aclose_forcefully(connection.stream)
+        elif number in connection.open:
+            async with connection.lock:
+                if await self._write(connection, msgpack.packb([2, "cancelRequest", [number]])):
+                    request.gone_s = self._now_s()
+                    connection.open.pop(number, None)
+
+    async def _connection(self, nursery: trio.Nursery) -> Connection | None:
+        usable = [each for each in self._connections if len(each.open) < OPEN_MOST]
+        if usable and self._random.random() < 0.9:
+            return self._random.choice(usable)
+        try:
+            stream = await trio.open_tcp_stream("127.0.0.1", self._coordinator.port)
+        except OSError:
+            return None
+        connection = Connection(stream)
+        self._connections.append(connection)
+        nursery.start_soon(self._read, connection)
+        return connection
+
+    async def _read(self, connection: Connection) -> None:
+        unpacker = msgpack.Unpacker()
+        try:
+            while chunk := await connection.stream.receive_some(READ_BYTES):
+                unpacker.feed(chunk)
+                for message in unpacker:
+                    self._take(connection, message)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        for request in connection.open.values():
+            request.closed_s = self._now_s()
+        connection.open.clear()
+        self._drop(connection)
+
+    def _take(self, connection: Connection, message: Any) -> None:
+        _, number, error, result = message
+        connection.open.pop(number, None)
+        if (request := connection.asked.get(number)) is None:
+            return
+        how = "served" if error is None else "refused" if error[0] == "Overloaded" else "failed"
+        if how == "served" and result[0].count(request.txn.encode()) != 2:
+            how = "spoilt"
+        request.answers.append((self._now_s(), how))
+
+    def _drop(self, connection: Connection) -> None:
+        connection.over = True
+        if connection in self._connections:
+            self._connections.remove(connection)
--- /dev/null
+++ b/fordstair/lab/soak/engines.py
@@ -0,0 +1,51 @@
+"""Stand-in engines that write down every attempt."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import trio
+
+from fordstair.lab.engine import Run, StandIn
+from fordstair.lab.machine import Machine
+from fordstair.lab.soak.records import AttemptRecord, SoakRecord
+
+CORES = 8.0
+
+
+class WatchedEngine(StandIn):
+    """An engine whose attempts stand in the record of a run."""
+
+    def __init__(self, name: str, record: SoakRecord, start_s: float) -> None:
+        super().__init__(name, Machine(cores=CORES))
+        self._record, self._start_s = record, start_s
+        self._latest: dict[str, AttemptRecord] = {}
+
+    def _now_s(self) -> float:
+        return trio.current_time() - self._start_s
+
+    def rebase(self, start_s: float) -> None:
+        """Count the time of the run from here on."""
+        self._start_s = start_s
+
+    def noticed(self, method: str, fields: Mapping[str, str]) -> None:
+        """Write a POST down that has come whole, also where the engine is silent."""
+        if method == "POST":
+            txn = fields.get("x-txn", "")
+            attempt = AttemptRecord(txn, self.name, self._now_s(), float(fields.get("x-limit-ms", "nan")))
+            self._latest[txn] = attempt
+            self._record.attempts.append(attempt)
+
+    async def _post(self, fields: dict[str, str], body: bytes) -> tuple[int, list[tuple[str, str]], bytes]:
+        attempt = self._latest[fields.get("x-txn", "")]
+        before = self.started[attempt.txn]
+        attempt.started_s, attempt.how = self._now_s(), "runs"
+        answered = await super()._post(fields, body)
+        if self.started[attempt.txn] == before:
+            attempt.how, attempt.started_s = "refused", float("inf")
+        return answered
+
+    def _end(self, run: Run, how: str) -> None:
+        super()._end(run, how)
+        if (attempt := self._latest.get(run.txn)) is not None and attempt.how == "runs":
+            attempt.how, attempt.ended_s = how, self._now_s()
--- /dev/null
+++ b/fordstair/lab/soak/run.py
@@ -0,0 +1,256 @@
+"""Runs one soak: processes, engines, discovery, clients, and the faults that its seed has drawn."""
+
+from __future__ import annotations
+
+import math
+import signal
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from fordstair.lab.soak.clients import TEAM, Clients
+from fordstair.lab.soak.coordinators import CoordinatorProcess
+from fordstair.lab.soak.discovery import DRAINING, READY, DiscoveryStandIn
+from fordstair.lab.soak.engines import WatchedEngine
+from fordstair.lab.soak.oracle import Oracle, Violation
+from fordstair.lab.soak.plan import Fault, FaultKind, draw_faults
+from fordstair.lab.soak.records import Drain, InjectedFault, SoakRecord, Span
+
+LAG_MOST_S = 0.5  # a run that was later than that itself judges nothing
+BEAT_S = 0.05
+
+SETTINGS: dict[str, Any] = {
+    "areas": ["hall-a"], "hostTypes": ["std"], "index": 0, "family": "queries",
+    "categories": [
+        {"name": "lookup", "effect": "read_like", "promiseMs": 1200.0, "aimStretch": 1.5, "giveUpMs": 6000.0,
+         "worth": 1.0, "lateWorth": 0.5, "group": "all", "memorySpanMs": 5000.0},
+        {"name": "settlement", "effect": "read_like", "promiseMs": 2000.0, "aimStretch": 2.5,
+         "giveUpMs": 25000.0, "worth": 7.5, "lateWorth": 0.3, "group": "all", "memorySpanMs": 5000.0},
+        {"name": "meter-load", "effect": "non_idempotent", "promiseMs": 3000.0, "aimStretch": 3.0,
+         "giveUpMs": 20000.0, "worth": 4.0, "lateWorth": 0.6, "group": "all", "memorySpanMs": 5000.0}],
+    "projects": [{"name": TEAM, "quotaPerS": 1000.0}],
+    "extra": {"cpuOfKind": [8], "kindMemoryMb": [24576.0], "largestShare": 0.4, "priorities": True,
+              "loads": [False, False, True], "parallelism": [1, 4, 2], "tellsEveryMs": 500.0},
+    "limits": {"mayCancel": True, "sendCap": 4, "retryAfter": True, "maxRetryAfterMs": 1000.0,
+               "connectTimeoutMs": 250.0, "connIdleMs": 30000.0, "probes": False},
+    "obligations": {"coldFrom": 0.32, "coldMs": 15000.0, "fallMultiple": 2.5, "fallMs": 1000.0},
+    "report": {"fields": ["util", "inflight"], "source": "piggyback"}, "discovery": "push"}
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """How large a soak is."""
+
+    seed: int
+    seconds: float = 15.0
+    coordinators: int = 10
+    engines: int = 6
+    faults_per_s: float = 3.0
+    rate_per_s: float = 8.0  # requests to one coordinator
+
+
+@dataclass(slots=True)
+class Report:
+    """What a soak came to."""
+
+    plan: Plan
+    faults: list[Fault]
+    record: SoakRecord
+    violations: list[Violation]
+    counters: Counter[str]
+
+    @property
+    def answers(self) -> Counter[str]:
+        """How requests ended."""
+        return Counter(each.answers[0][1] if each.answers else "no answer" for each in self.record.requests)
+
+    def __str__(self) -> str:
+        kinds = Counter(each.fault.kind.value for each in self.record.injected)
+        lines = [f"seed {self.plan.seed}: {len(self.record.requests)} requests {dict(self.answers)}, "
+                 f"{len(self.record.attempts)} attempts, worst lag {self.record.worst_lag_s * 1e3:.0f} ms",
+                 f"  faults {dict(kinds)}"]
+        if self.violations:
+            lines += [f"  fault {fault}" for fault in self.faults]
+            lines += [f"  VIOLATION {violation}" for violation in self.violations]
+        return "\n".join(lines)
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.folder, self.record = plan, folder, SoakRecord()
+        self.start_s = math.nan
+        self.engines: dict[str, WatchedEngine] = {}
+        self.coordinators: dict[str, CoordinatorProcess] = {}
+        self.discovery = DiscoveryStandIn({})
+        self._channel = 0  # which of discovery's ports is told
+        self._restarts = trio.CapacityLimiter(2)
+
+    def now_s(self) -> float:
+        """Return the time of the run."""
+        return trio.current_time() - self.start_s
+
+    async def run(self) -> Report:
+        """Play the plan, and judge what was seen."""
+        names = [f"n{number}" for number in range(self.plan.coordinators)]
+        engine_names = [f"s-{number:08x}" for number in range(1, self.plan.engines + 1)]
+        faults = draw_faults(self.plan.seed, self.plan.seconds, self.plan.faults_per_s, names, engine_names)
+        self.start_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for name in engine_names:
+                self.engines[name] = WatchedEngine(name, self.record, self.start_s)
+                await nursery.start(self.engines[name].serve)
+            addresses = {name: engine.address for name, engine in self.engines.items()}
+            self.discovery = DiscoveryStandIn(addresses)
+            await nursery.start(self.discovery.run)
+            try:
+                await self._start_coordinators(names)
+                self.start_s = trio.current_time()
+                for engine in self.engines.values():
+                    engine.rebase(self.start_s)
+                nursery.start_soon(self._watch)
+                await self._play(faults)
+            finally:
+                with trio.CancelScope(shield=True):
+                    await self._end_all()
+            nursery.cancel_scope.cancel()
+        counters = Counter[str]()
+        for each in self.coordinators.values():
+            each.read_log()
+            counters.update(each.counters())
+        return Report(self.plan, faults, self.record, Oracle(self.record).violations(), counters)
+
+    async def _start_coordinators(self, names: list[str]) -> None:
+        settings = SETTINGS | {"instances": len(names)}
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                self.coordinators[name] = CoordinatorProcess(name, self.folder, settings, self.record)
+                nursery.start_soon(self._start, self.coordinators[name])
+
+    async def _start(self, coordinator: CoordinatorProcess) -> None:
+        async with self._restarts:
+            await coordinator.start(self.discovery.known(), self._address())
+
+    def _address(self) -> str:
+        return f"127.0.0.1:{self.discovery.ports[self._channel]}"
+
+    async def _play(self, faults: list[Fault]) -> None:
+        """Send traffic and inject faults; return once the last request has ended."""
+        async with trio.open_nursery() as nursery:
+            for number, coordinator in enumerate(self.coordinators.values()):
+                clients = Clients(coordinator, self.record, self.plan.seed * 1_000 + number,
+                                  self.plan.rate_per_s, self.start_s)
+                nursery.start_soon(clients.run, self.plan.seconds)
+            for fault in faults:
+                nursery.start_soon(self._inject, fault)
+
+    async def _end_all(self) -> None:
+        for coordinator in self.coordinators.values():
+            coordinator.look(self.now_s())
+        async with trio.open_nursery() as nursery:
+            for coordinator in self.coordinators.values():
+                coordinator.signal(signal.SIGCONT)
+                nursery.start_soon(coordinator.terminate)
+
+    async def _watch(self) -> None:
+        """Look for ends that nobody wanted, and for how late this program is itself."""
+        while True:
+            due_s = trio.current_time() + BEAT_S
+            await trio.sleep_until(due_s)
+            self.record.worst_lag_s = max(self.record.worst_lag_s, trio.current_time() - due_s)
+            for coordinator in self.coordinators.values():
+                coordinator.look(self.now_s())
+
+    async def _inject(self, fault: Fault) -> None:
+        """Let a fault hold for its time, and write down when it did."""
+        await trio.sleep_until(self.start_s + fault.at_s)
+        entry = InjectedFault(fault, Span(self.now_s(), math.inf))
+        self.record.injected.append(entry)
+        on_target: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
+            FaultKind.STEP_CLOCK: self._shim_fault, FaultKind.FAIL_CALL: self._shim_fault,
+            FaultKind.SHORTEN_CALL: self._shim_fault, FaultKind.PAUSE: self._pause,
+            FaultKind.KILL: self._kill, FaultKind.TERMINATE: self._terminate, FaultKind.RELOAD: self._reload,
+            FaultKind.DRAIN: self._drain, FaultKind.SILENCE_DISCOVERY: self._silence_discovery,
+            FaultKind.RESET_DISCOVERY: self._reset_discovery}
+        await on_target.get(fault.kind, self._engine_fault)(fault)
+        entry.held = Span(entry.held.from_s, self.now_s())
+
+    async def _shim_fault(self, fault: Fault) -> None:
+        coordinator = self.coordinators[fault.name]
+        await coordinator.put(fault)
+        await trio.sleep(fault.lasts_s)
+        await coordinator.lift(fault)
+
+    async def _pause(self, fault: Fault) -> None:
+        self.coordinators[fault.name].signal(signal.SIGSTOP)
+        await trio.sleep(fault.lasts_s)
+        self.coordinators[fault.name].signal(signal.SIGCONT)
+
+    async def _kill(self, fault: Fault) -> None:
+        await self._restart(fault, self.coordinators[fault.name].kill)
+
+    async def _terminate(self, fault: Fault) -> None:
+        await self._restart(fault, self.coordinators[fault.name].terminate)
+
+    async def _restart(self, fault: Fault, end: Callable[[], Awaitable[None]]) -> None:
+        coordinator = self.coordinators[fault.name]
+        if not coordinator.ready:
+            return  # it is being restarted already
+        await end()
+        await trio.sleep(fault.lasts_s)
+        await self._start(coordinator)
+
+    async def _reload(self, fault: Fault) -> None:
+        self._channel = 1 - self._channel
+        coordinator = self.coordinators[fault.name]
+        coordinator.write_config(self.discovery.known(), self._address())
+        coordinator.signal(signal.SIGHUP)
+
+    async def _drain(self, fault: Fault) -> None:
+        if self.discovery.states[fault.name] == DRAINING:
+            return
+        entry = Drain(fault.name, Span(self.now_s(), math.inf))
+        self.record.drains.append(entry)
+        self.discovery.tell(fault.name, DRAINING)
+        await trio.sleep(fault.lasts_s)
+        entry.told = Span(entry.told.from_s, self.now_s())
+        self.discovery.tell(fault.name, READY)
+
+    async def _silence_discovery(self, fault: Fault) -> None:
+        self.discovery.go_silent()
+        await trio.sleep(fault.lasts_s)
+        self.discovery.speak_again()
+
+    async def _reset_discovery(self, fault: Fault) -> None:
+        await self.discovery.reset()
+
+    async def _engine_fault(self, fault: Fault) -> None:
+        engine = self.engines[fault.name]
+        if fault.kind is FaultKind.SILENCE:
+            engine.go_silent()
+            await trio.sleep(fault.lasts_s)
+            engine.speak_again()
+        elif fault.kind is FaultKind.SLOW_DOWN:
+            engine.slow_down(6.0)
+            await trio.sleep(fault.lasts_s)
+            engine.slow_down(1.0)
+        elif fault.kind is FaultKind.FILL_UP:
+            engine.full = True
+            await trio.sleep(fault.lasts_s)
+            engine.full = False
+        elif fault.kind is FaultKind.RESTART_COLD:
+            engine.come_back_cold()
+        elif fault.kind is FaultKind.RESET_CONNECTIONS:
+            engine.reset_connections()
+
+
+def soak(plan: Plan) -> Report:
+    """Run one soak; the same plan injects the same faults."""
+    with tempfile.TemporaryDirectory() as folder:
+        return trio.run(Soak(plan, Path(folder)).run)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,100 @@
+"""The fault soak: its plan, its oracle, and one short run over real processes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import pytest
+
+from fordstair.lab.soak.oracle import Oracle
+from fordstair.lab.soak.plan import RECIPES, Fault, FaultKind, draw_faults
+from fordstair.lab.soak.records import (
+    AttemptRecord,
+    CoordinatorEnd,
+    Drain,
+    InjectedFault,
+    RequestRecord,
+    SoakRecord,
+    Span,
+)
+from fordstair.lab.soak.run import LAG_MOST_S, Plan, soak
+
+TXN = "a" * 16
+
+
+def served(**changes: object) -> SoakRecord:
+    """A run of one load that was served, with no fault."""
+    request = RequestRecord(TXN, "meter-load", "n0", 1.0, 4.0, [(1.5, "served")])
+    attempt = AttemptRecord(TXN, "s-1", 1.01, 3_900.0, 1.01, 1.4, "served")
+    record = SoakRecord([request], [attempt])
+    for name, value in changes.items():
+        setattr(request if hasattr(request, name) else attempt, name, value)
+    return record
+
+
+def rules(record: SoakRecord) -> list[str]:
+    """Return the names of the broken rules."""
+    return [each.rule for each in Oracle(record).violations()]
+
+
+def again(record: SoakRecord, how: str, started_s: float, engine: str = "s-2") -> SoakRecord:
+    record.attempts.append(AttemptRecord(TXN, engine, started_s, 100.0, started_s, started_s + 0.1, how))
+    return record
+
+
+def with_fault(record: SoakRecord, kind: FaultKind, from_s: float, to_s: float) -> SoakRecord:
+    record.injected.append(InjectedFault(Fault(from_s, to_s - from_s, kind, "n0"), Span(from_s, to_s)))
+    return record
+
+
+def with_drain(record: SoakRecord, told_s: float) -> SoakRecord:
+    record.drains.append(Drain("s-1", Span(told_s, 9.0)))
+    return record
+
+
+def ended(record: SoakRecord) -> SoakRecord:
+    record.ends.append(CoordinatorEnd("n0", 2.0, False, 1))
+    return record
+
+
+@pytest.mark.parametrize(("record", "broken"), [
+    (served, []),
+    (lambda: again(served(), "unasked", 2.0), ["duplicate"]),
+    (lambda: again(served(how="refused"), "served", 2.0), []),
+    (lambda: again(served(lane="lookup"), "served", 2.0), []),
+    (lambda: again(served(lane="lookup"), "served", 1.2), ["parallel"]),
+    (lambda: served(answers=[]), ["lost"]),
+    (lambda: served(answers=[(5.6, "served")]), ["lost"]),
+    (lambda: with_fault(served(answers=[(5.6, "served")]), FaultKind.PAUSE, 2.0, 2.5), []),
+    (lambda: with_fault(served(answers=[]), FaultKind.KILL, 1.2, 1.3), []),
+    (lambda: with_fault(served(answers=[], closed_s=1.6), FaultKind.TERMINATE, 0.5, 2.0), ["lost"]),
+    (lambda: with_fault(served(answers=[], closed_s=1.05), FaultKind.TERMINATE, 0.5, 2.0), []),
+    (lambda: served(answers=[(1.5, "served"), (1.6, "served")]), ["second answer"]),
+    (lambda: served(answers=[(1.5, "spoilt")]), ["spoilt answer"]),
+    (lambda: served(gone_s=0.8), ["begun for nobody"]),
+    (lambda: served(gone_s=1.5, answers=[]), []),
+    (lambda: served(limit_ms=4_300.0), ["limit"]),
+    (lambda: with_drain(served(), 0.3), ["drain"]),
+    (lambda: with_drain(served(), 0.9), []),
+    (lambda: with_fault(with_drain(served(), 0.3), FaultKind.SILENCE_DISCOVERY, 0.0, 0.9), []),
+    (lambda: ended(served()), ["crash"]),
+])
+def test_the_oracle_finds_each_broken_rule_and_no_other(record: Callable[[], SoakRecord],
+                                                        broken: list[str]) -> None:
+    assert rules(record()) == broken
+
+
+def test_a_plan_is_drawn_from_its_seed_and_holds_every_kind() -> None:
+    names, engines = ["n0", "n1"], ["s-1"]
+    one, same, other = (draw_faults(seed, 200.0, 5.0, names, engines) for seed in (3, 3, 4))
+    assert one == same != other
+    assert {fault.kind for fault in one} == set(RECIPES)
+    assert all(0.0 < fault.at_s < 200.0 and math.isfinite(fault.lasts_s) for fault in one)
+
+
+def test_ten_coordinators_break_no_rule_under_overlapping_faults() -> None:
+    report = soak(Plan(seed=1, seconds=8.0, coordinators=10, faults_per_s=4.0, rate_per_s=5.0))
+    assert report.record.worst_lag_s < LAG_MOST_S, "the machine is too busy to judge"
+    assert not report.violations, str(report)
+    assert report.answers["served"] > 100 and len(report.record.injected) > 15
