--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -143,7 +143,8 @@
         self._last_id += 1
         now = self.deadlines.clock()
         spec = self.settings.classes[query.klass]
-        live = Live(self._last_id, query, reply, now, now + max(0.0, query.limit_ms - TRANSIT_MS),
+        left_ms = max(0.0, query.limit_ms - TRANSIT_MS - query.waited_ms)
+        live = Live(self._last_id, query, reply, now, now + left_ms,
                     SendGuard(spec.effect, spec.memory_span_ms))
         self.live[live.id] = live
         self._txns.add(query.txn.lower())
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -23,6 +23,7 @@
     group: float = 0.0
     cost_ms: float = 0.0
     memory_mb: float = 0.0
+    waited_ms: float = 0.0  # of its limit, before it was read here
 
 
 @dataclass(slots=True)
--- a/fordstair/lab/fault_shim.py
+++ b/fordstair/lab/fault_shim.py
@@ -66,10 +66,11 @@
         true_init, true_accept = kind.__init__, kind.accept
         true_recv, true_send = kind.recv, kind.send
 
-        def opened(sock: Any, *arguments: Any, **named: Any) -> None:
-            if named.get("fileno") is None and len(arguments) < 4:  # not where accept() wraps a descriptor
+        def opened(sock: Any, family: int = -1, type: int = -1, proto: int = -1,
+                   fileno: int | None = None) -> None:
+            if fileno is None:  # else it is there already, as from accept()
                 self._fail("open")
-            true_init(sock, *arguments, **named)
+            true_init(sock, family, type, proto, fileno)
 
         def received(sock: Any, size: int, *flags: int) -> bytes:
             return bytes(true_recv(sock, self._shorten("recv", size), *flags))
--- a/fordstair/lab/soak/run.py
+++ b/fordstair/lab/soak/run.py
@@ -90,7 +90,8 @@
         self.coordinators: dict[str, CoordinatorProcess] = {}
         self.discovery = DiscoveryStandIn({})
         self._channel = 0  # which of discovery's ports is told
-        self._restarts = trio.CapacityLimiter(2)
+        self._starts = trio.CapacityLimiter(2)  # at a time: they would slow each other down
+        self._restarting: set[str] = set()
 
     def now_s(self) -> float:
         """Return the time of the run."""
@@ -134,7 +135,7 @@
                 nursery.start_soon(self._start, self.coordinators[name])
 
     async def _start(self, coordinator: CoordinatorProcess) -> None:
-        async with self._restarts:
+        async with self._starts:
             await coordinator.start(self.discovery.known(), self._address())
 
     def _address(self) -> str:
@@ -200,11 +201,13 @@
 
     async def _restart(self, fault: Fault, end: Callable[[], Awaitable[None]]) -> None:
         coordinator = self.coordinators[fault.name]
-        if not coordinator.ready:
-            return  # it is being restarted already
+        if coordinator.name in self._restarting:
+            return
+        self._restarting.add(coordinator.name)
         await end()
         await trio.sleep(fault.lasts_s)
         await self._start(coordinator)
+        self._restarting.discard(coordinator.name)
 
     async def _reload(self, fault: Fault) -> None:
         self._channel = 1 - self._channel
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -86,7 +86,7 @@
             failed = self.end(Status.CONNECT_FAILED, str(error))
             failed.reached, failed.late = error.refused, error.late
             raise failed from error
-        why = "silence"
+        why, broken = "silence", False
         try:
             if not await errand.may_go():  # it began to drain, or was replaced, while the connection came up
                 raise self.end(Status.MOOT, "the engine takes nothing new")
@@ -97,12 +97,13 @@
                 self.heard = True
                 return self._read(connection, answer, self.read)
         except Broken as error:
-            why = str(error)
+            why, broken = str(error), True
         finally:
             if connection.whole:
                 self.posted_ms = self.deadlines.clock()
-                # What has come and is not read yet: then it is this program that is late, not the engine.
-                self.heard = self.heard or connection.sock.is_readable()
+                # What has come and is not read yet: then it is this program that is late, not the engine. An
+                # end or a reset of the connection is readable too, and shows nothing.
+                self.heard = self.heard or (not broken and connection.sock.is_readable())
             # One that was stopped closes at once: a machine that was cut off and comes back would read the
             # POST from it, and run the query beside the next attempt.
             self.pool.release(connection)
@@ -126,7 +127,7 @@
         connection, self.unread = self.unread, None
         try:
             if self.ended or not self.posted_ms or not self.path:
-                return self.heard or not self.posted_ms
+                return self.heard or not self.posted_ms or self._prompt
             until_ms = self.deadlines.clock() + DROP_MS
             with trio.CancelScope(shield=True), self.deadlines.limit(until_ms) as limit:
                 await self.deadlines.sleep(self.posted_ms + OVERTAKE_MS - self.deadlines.clock())
@@ -139,13 +140,20 @@
                 # long, however surely it was heard of before.
                 self.pool.counters.add("engine.drops_in_vain")
                 return False
-            # A machine that said nothing for longer than an engine may take was cut off, and reads the POST
-            # after the DELETE perhaps.
-            return self.heard or self.deadlines.clock() < self.sent_ms + PROMPT_MS
+            return self.heard or self._prompt
         finally:
             if connection is not None:
                 self.pool.release(connection)
 
+    @property
+    def _prompt(self) -> bool:
+        """Whether no more time has passed since the POST than an engine that is there may take for an answer.
+
+        A machine that said nothing for longer was cut off, or hung, and reads the POST after a later call
+        perhaps.
+        """
+        return self.deadlines.clock() < self.sent_ms + PROMPT_MS
+
     async def side_call(self, method: str, path: str, body: bytes = b"") -> None:
         """Make a call whose answer tells nothing, on another connection than the one that asks.
 
--- /dev/null
+++ b/fordstair/net/listener.py
@@ -0,0 +1,66 @@
+"""Accepts clients; a call that fails for a moment neither ends the listener nor is made without a pause."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from fordstair.core.clock import monotonic_now
+from fordstair.core.counters import Counters
+from fordstair.core.deadlines import Deadlines
+from fordstair.core.events import Events
+from fordstair.net.lateness import PollWatch
+from fordstair.net.system_errors import Backoff, Scope, scope_of
+
+log = Events(__name__)
+
+Serve = Callable[[trio.SocketStream, float], Awaitable[None]]
+
+
+class ClientListener:
+    """One listening socket. Each client is handed on with how long at most it waited for that."""
+
+    def __init__(self, sock: trio.socket.SocketType, serve: Serve, poll_watch: PollWatch,
+                 deadlines: Deadlines, counters: Counters) -> None:
+        self._sock, self._serve = sock, serve
+        self._poll_watch, self._deadlines, self._counters = poll_watch, deadlines, counters
+        self._failing_since_ms: float | None = None  # accept has failed, and some may wait since then
+
+    async def run(self, clients: trio.Nursery) -> None:
+        """Accept until cancelled, and close the socket; the clients' tasks outlive that."""
+        backoff = Backoff()
+        with self._sock:
+            while True:
+                try:
+                    sock, _ = await self._sock.accept()
+                except OSError as error:
+                    if scope_of(error) is Scope.PROGRAM:
+                        raise
+                    self._note_failure(error)
+                    await self._deadlines.sleep(backoff.pause_ms())
+                    continue
+                backoff = Backoff()
+                clients.start_soon(self._handle, trio.SocketStream(sock), self._waited_ms())
+
+    def _note_failure(self, error: OSError) -> None:
+        self._counters.add("accept.failures")
+        if self._failing_since_ms is None:
+            self._failing_since_ms = monotonic_now()
+            log.warning("accept.fails", why=error)
+
+    def _waited_ms(self) -> float:
+        """Return for how long the client just accepted may have been connected."""
+        waited_ms = self._poll_watch.waited_ms()
+        if self._failing_since_ms is None:
+            return waited_ms
+        waited_ms = max(waited_ms, monotonic_now() - self._failing_since_ms)
+        if not self._sock.is_readable():  # the last of those that came meanwhile
+            self._failing_since_ms = None
+        return waited_ms
+
+    async def _handle(self, stream: trio.SocketStream, waited_ms: float) -> None:
+        try:
+            await self._serve(stream, waited_ms)
+        finally:
+            await trio.aclose_forcefully(stream)
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/msgpack_rpc.py
@@ -18,6 +18,7 @@
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
 from fordstair.net.closing import linger, shut
+from fordstair.net.lateness import PollWatch
 from fordstair.net.messagepack import Incomplete, Malformed, read
 
 log = Events(__name__)
@@ -34,6 +35,7 @@
 # for good, and whose requests are open may write as slowly as it likes.
 WHOLE_MS, UNREAD_MS = 2_000.0, 250.0
 CATCH_UP_MS = 1.0  # between two looks whether what a client has written is read
+ACCEPT_USUAL_MS = 20.0  # a connection that is accepted as soon has not brought a message that is late
 GREET_MS = 300.0  # for a new connection, while there are others to shed
 SORT_MS = 50.0  # an order of whom to shed holds for so long: a flood of connections must not cost a sort each
 WRITE_MS = 5_000.0  # for an answer to leave: a client that reads nothing is not kept for ever
@@ -48,7 +50,8 @@
     """A request that cannot be used; the text says why."""
 
 
-def read_query(method: str, params: Any, coordinator: Coordinator, largest: int) -> Query:
+def read_query(method: str, params: Any, coordinator: Coordinator, largest: int,
+               waited_ms: float = 0.0) -> Query:
     """Read a request's fields and statement; raise BadRequest, naming what cannot be used."""
     if method not in coordinator.classes:
         raise BadRequest(f"unknown class {method[:40]!r}")
@@ -68,7 +71,7 @@
     statement = bytes(body)  # the copy outlives the read buffer
     return Query(txn, method, coordinator.classes[method], tenant,
                  _number(fields, b"limit"), statement, table_group(statement.decode("utf-8", "replace")),
-                 _number(fields, b"cpu", 0.0), _number(fields, b"need_mb", 0.0))
+                 _number(fields, b"cpu", 0.0), _number(fields, b"need_mb", 0.0), waited_ms)
 
 
 def _text(fields: dict[Any, Any], name: bytes) -> str:
@@ -117,7 +120,14 @@
 class RpcClient:
     """One client's connection."""
 
-    def __init__(self, stream: trio.SocketStream, coordinator: Coordinator, largest_statement: int) -> None:
+    def __init__(self, stream: trio.SocketStream, coordinator: Coordinator, largest_statement: int,
+                 poll_watch: PollWatch | None = None, waited_ms: float = 0.0) -> None:
+        self._poll_watch = poll_watch or PollWatch()
+        self._connected_ms = coordinator.deadlines.clock() - waited_ms  # at the earliest
+        self._empty_ms = coordinator.deadlines.clock()  # when all that had come was read
+        self._waited_ms = 0.0  # for which what was read last may have waited for that
+        # Whether its first message was there as it was accepted; asked only where that was late.
+        self._came_along = waited_ms > ACCEPT_USUAL_MS and stream.socket.is_readable()
         self.stream, self.coordinator, self.deadlines = stream, coordinator, coordinator.deadlines
         self.largest_statement = largest_statement
         self.open: dict[int, Live] = {}
@@ -252,14 +262,24 @@
                 try:
                     if isinstance(self.stream, trio.SocketStream):
                         await trio.lowlevel.wait_readable(self.stream.socket)
+                    self._note_wait()
                     self._reads = True  # from here to the next wait there may be something that is not taken
                     chunk = bytes(await self.stream.receive_some(READ_BYTES))
                 finally:
                     self._waits, self._reads = None, True
                 self.heard_ms, self._short = self.deadlines.clock(), len(chunk) < READ_BYTES
+                if self._short:
+                    self._empty_ms = self.heard_ms
                 return chunk
         return b""
 
+    def _note_wait(self) -> None:
+        """Reckon for how long at most what is to be read now has been here."""
+        if self._came_along:
+            self._waited_ms, self._came_along = self.deadlines.clock() - self._connected_ms, False
+        else:
+            self._waited_ms = self._poll_watch.waited_ms(self._empty_ms)
+
     async def _read(self) -> None:
         """Take what comes, until the client has gone or can no longer be understood."""
         chunks, size, needed = list[bytes](), 0, 1
@@ -375,7 +395,8 @@
         try:
             if len(self.open) >= OPEN_MOST:
                 raise BadRequest(f"over {OPEN_MOST} requests are open")
-            query = read_query(method, params, self.coordinator, self.largest_statement)
+            waited_ms = self._waited_ms + self.deadlines.clock() - self.heard_ms
+            query = read_query(method, params, self.coordinator, self.largest_statement, waited_ms)
         except BadRequest as error:
             return self._invalid(number, str(error))
         self.asked, self._faults, self.since_ms = True, 0, self.deadlines.clock()
@@ -396,8 +417,8 @@
 
     clients_most, largest_statement = 64, LARGEST_STATEMENT  # until the configuration has been applied
 
-    def __init__(self, coordinator: Coordinator) -> None:
-        self.coordinator = coordinator
+    def __init__(self, coordinator: Coordinator, poll_watch: PollWatch | None = None) -> None:
+        self.coordinator, self.poll_watch = coordinator, poll_watch or PollWatch()
         self.clients: set[RpcClient] = set()
         self.closing = False
         self._next_to_go: deque[tuple[int, float, RpcClient]] = deque()  # the first to be shed first
@@ -409,13 +430,17 @@
         for client in self.clients:
             client.close()
 
-    async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one connection; a fault in it, or in making room for it, ends no other."""
+    async def serve(self, stream: trio.SocketStream, waited_ms: float = 0.0) -> None:
+        """Serve one connection; a fault in it, or in making room for it, ends no other.
+
+        ``waited_ms`` says how long at most it was there before it was accepted.
+        """
         try:
             if len(self.clients) >= self.clients_most and not self._make_room():
                 self.coordinator.counters.add("client.turned_away")
                 return await trio.aclose_forcefully(stream)
-            await self._serve(RpcClient(stream, self.coordinator, self.largest_statement))
+            await self._serve(RpcClient(
+                stream, self.coordinator, self.largest_statement, self.poll_watch, waited_ms))
         except Exception:
             log.exception("client.broke")
 
--- a/fordstair/net/pool.py
+++ b/fordstair/net/pool.py
@@ -13,6 +13,7 @@
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.net.http_client import Connection
+from fordstair.net.system_errors import Backoff, Scope, refused, scope_of
 
 IDLE_MARGIN_MS = 1_000.0  # closed here before the engine closes it: a POST must not cross such a close
 # A connection that its call no longer waits for may come up yet, and serve the next: a SYN that was lost goes
@@ -260,6 +261,23 @@
             self.release(connection)
 
     async def _connect(self, endpoint: Endpoint) -> PooledConnection:
+        """Connect; what fails here for a moment is tried again, and tells nothing of the engine."""
+        until_ms, backoff = self.deadlines.clock() + self._patience_ms, Backoff()
+        while True:
+            try:
+                return await self._connect_once(endpoint, until_ms)
+            except (trio.BrokenResourceError, ssl.SSLError) as error:
+                raise ConnectFailed(f"{endpoint.address}: {error}") from error
+            except OSError as error:
+                pause_ms = backoff.pause_ms()
+                transient = scope_of(error) is Scope.TRANSIENT
+                if not transient or self.deadlines.clock() + pause_ms >= until_ms:
+                    raise ConnectFailed(f"{endpoint.address}: {error}", refused=refused(error),
+                                        late=transient) from error
+                self.counters.add("engine.connect_retries")
+                await self.deadlines.sleep(pause_ms)
+
+    async def _connect_once(self, endpoint: Endpoint, until_ms: float) -> PooledConnection:
         address = endpoint.address
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -268,7 +286,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream: trio.abc.Stream | None = None
             # A machine that vanished never answers a connect.
-            with self.deadlines.limit_for(self._patience_ms):
+            with self.deadlines.limit(until_ms):
                 await sock.connect((host.strip("[]"), int(port)))
                 plain = trio.SocketStream(sock)
                 if (context := self._tls(address)) is None:
@@ -281,10 +299,6 @@
             if stream is None:
                 raise ConnectFailed(f"{address}: no connection within {self._patience_ms:.0f} ms", late=True)
             return PooledConnection(sock, stream, endpoint)
-        except (OSError, trio.BrokenResourceError, ssl.SSLError) as error:
-            sock.close()
-            refused = isinstance(error, ConnectionRefusedError)
-            raise ConnectFailed(f"{address}: {error}", refused=refused) from error
         except BaseException:
             sock.close()
             raise
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -20,6 +20,8 @@
 from fordstair.core.ports import Engine, Transport
 from fordstair.core.start_times import StartTimes
 from fordstair.net.command_channel import CommandChannel
+from fordstair.net.lateness import PollWatch
+from fordstair.net.listener import ClientListener, Serve
 from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
 from fordstair.net.pool import Pool
 from fordstair.net.rest_engine import RestTransport
@@ -94,7 +96,8 @@
             self.coordinator.reach = Reach(self.coordinator)
         if operator is not None and operator.shares is not None:
             self.share_budgets(operator.shares)
-        self.rpc = RpcFront(self.coordinator)
+        self.poll_watch = PollWatch()
+        self.rpc = RpcFront(self.coordinator, self.poll_watch)
         if operator is not None and operator.listen is not None:
             from fordstair.net.odata_front import ODataFront
 
@@ -225,6 +228,7 @@
             await nursery.start(self.signals)
             nursery.start_soon(self.deadlines.run)
             nursery.start_soon(self.watch_clock)
+            nursery.start_soon(self.poll_watch.run)
             await nursery.start(self.pool.run)
             await nursery.start(self.coordinator.run)
             nursery.start_soon(self.command_channel.run)
@@ -269,7 +273,7 @@
                 self.counters.add("clock.steps")
                 log.warning("clock.stepped", by_ms=round(step_ms))
 
-    async def serve_odata(self, stream: trio.SocketStream) -> None:
+    async def serve_odata(self, stream: trio.SocketStream, waited_ms: float) -> None:
         """Serve an OData client, after its handshake where there are identities."""
         assert self.odata is not None
         try:
@@ -325,7 +329,7 @@
         self.rpc.largest_statement = max(SMALLEST_BOUND, min(LARGEST_STATEMENT, int(held)))
 
     async def accept(self, name: str, listen: tuple[str, int],
-                     serve: Callable[[trio.SocketStream], Awaitable[None]], scope: trio.CancelScope) -> None:
+                     serve: Serve, scope: trio.CancelScope) -> None:
         """Accept clients until the scope is cancelled; their connections outlive it."""
         async with trio.open_nursery() as clients:
             with scope:
@@ -336,7 +340,12 @@
                 self.listeners += listeners
                 host, port = listeners[0].socket.getsockname()[:2]
                 log.info("listening", name=self.config.name, front=name, host=host, port=port)
-                await trio.serve_listeners(serve, listeners, handler_nursery=clients)
+                async with trio.open_nursery() as accepting:
+                    for each in listeners:
+                        accepting.start_soon(self._listener(each, serve).run, clients)
+
+    def _listener(self, opened: trio.SocketListener, serve: Serve) -> ClientListener:
+        return ClientListener(opened.socket, serve, self.poll_watch, self.deadlines, self.counters)
 
     async def drain(self, accepting: list[trio.CancelScope]) -> None:
         """Go on for a while, then close what is idle, and answer all by the end."""
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,112 @@
+"""System calls that fail for a moment, and pauses: real processes, each fault put in place at a barrier."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+import pytest
+import trio
+
+from fordstair.lab.soak.plan import ERRNOS
+from tests.standins import Answered, Client, RestEngine, at_once, config, engine, program
+from tests.test_stepped_clock import ROWS, faulty_program
+
+SLACK_MS = 150.0
+
+
+def limit_told(one: RestEngine, number: int = 0) -> float:
+    """Return the deadline that an engine was told, in milliseconds."""
+    return float(one.posts[number][0]["x-limit-ms"])
+
+
+@pytest.mark.parametrize("errno", ERRNOS["open"])
+def test_a_socket_that_cannot_be_had_for_a_moment_ends_nothing(errno: str) -> None:
+    async def scene() -> None:
+        async with engine() as one, faulty_program(config(one.address)) as (node, faults):
+            client = await node.client()
+            assert await client.answer(await client.ask("meter-load")) == (None, ROWS)
+            await faults.apply(calls={"open": {"errno": errno}, "recv": {"short": 7}})
+            one.script = at_once_on_fresh_connections  # the pooled connection serves no further call
+            asked = [await client.ask(lane) for lane in ("lookup", "settlement", "meter-load")]
+            for number in asked:
+                error, result = await client.answer(number, 4.0)
+                assert result == ROWS or error[0] in ("Overloaded", "Internal")
+            await faults.apply()
+            one.script = at_once
+            assert await client.answer(await client.ask("meter-load"), 4.0) == (None, ROWS)
+            assert node.process.returncode is None and not any("Traceback" in line for line in node.log)
+
+    trio.run(scene)
+
+
+async def at_once_on_fresh_connections(one: RestEngine, method: str, path: str, headers: dict[str, str],
+                                       body: bytes) -> Answered | bytes | None:
+    """Serve in one page, and end the connection after each answer."""
+    head = b"HTTP/1.1 200 OK\r\nX-Sheets: 1\r\nConnection: close\r\nContent-Length: 12\r\n\r\n"
+    return head + b"a\tb\tc\nd\te\tf\n"
+
+
+@pytest.mark.parametrize("errno", ERRNOS["accept"])
+def test_who_waits_while_accept_fails_is_served_soon_with_the_time_that_is_left(errno: str) -> None:
+    async def scene() -> None:
+        async with engine() as one, faulty_program(config(one.address)) as (node, faults):
+            await faults.apply(calls={"accept": {"errno": errno}})
+            client = await node.client()  # the system has it; the program has not
+            sent_s = trio.current_time()
+            number = await client.ask(limit="3000")
+            await trio.sleep(0.5)
+            await faults.apply()
+            lifted_s = trio.current_time()
+            assert await client.answer(number, 4.0) == (None, ROWS)
+            assert trio.current_time() - lifted_s < 0.3
+            assert limit_told(one) <= 3_000.0 - (lifted_s - sent_s) * 1e3 + SLACK_MS
+            assert not any("Traceback" in line for line in node.log)
+
+    trio.run(scene)
+
+
+@pytest.mark.parametrize("new", [False, True])
+def test_a_pause_counts_against_the_time_of_what_came_meanwhile(new: bool) -> None:
+    async def scene() -> None:
+        async with engine() as one, program(config(one.address)) as node:
+            client = await node.client()
+            assert await client.answer(await client.ask()) == (None, ROWS)
+            os.kill(node.process.pid, signal.SIGSTOP)
+            if new:
+                client = await node.client()
+                client.last = 1  # its ids go on where the other's ended
+            sent_s = trio.current_time()
+            number = await client.ask(limit="3000")
+            await trio.sleep(0.7)
+            os.kill(node.process.pid, signal.SIGCONT)
+            assert await client.answer(number, 4.0) == (None, ROWS)
+            left_ms = 3_000.0 - (trio.current_time() - sent_s) * 1e3
+            assert limit_told(one, -1) <= left_ms + SLACK_MS
+            # A pause is over once it is over.
+            await trio.sleep(0.3)
+            fresh: Client = await node.client()
+            fresh.last = 10
+            assert await fresh.answer(await fresh.ask(limit="3000"), 4.0) == (None, ROWS)
+            assert limit_told(one, -1) > 2_800.0
+
+    trio.run(scene)
+
+
+def test_a_reset_that_comes_late_does_not_show_that_the_engine_has_read_the_post() -> None:
+    """It may start the query yet: a further attempt would run beside it (soak, seed 9)."""
+    async def scene() -> None:
+        async def silent_then_gone(one: RestEngine, method: str, path: str, headers: dict[str, str],
+                                   body: bytes) -> Answered | bytes | None:
+            if method == "POST":
+                await trio.sleep(0.4)
+                return None
+            return (500, {}, b"") if method == "GET" else (204, {}, b"")
+
+        async with engine(silent_then_gone) as one, engine(silent_then_gone) as two, \
+                program(config(one.address, two.address)) as node:
+            client = await node.client()
+            error, _ = await client.answer(await client.ask(limit="3000"))
+            assert (error[0], len(one.posts) + len(two.posts)) == ("Overloaded", 1)
+
+    trio.run(scene)
