--- a/fordstair/lab/soak/clients.py
+++ b/fordstair/lab/soak/clients.py
@@ -8,7 +8,7 @@
 import msgpack
 import trio
 
-from fordstair.lab.soak.coordinators import CoordinatorProcess
+from fordstair.lab.soak.coordinators import HOST, CoordinatorProcess
 from fordstair.lab.soak.records import RequestRecord, SoakRecord
 
 READ_BYTES = 65_536
@@ -118,7 +118,7 @@
         if usable and self._random.random() < 0.9:
             return self._random.choice(usable)
         try:
-            stream = await trio.open_tcp_stream("127.0.0.1", self._coordinator.port)
+            stream = await trio.open_tcp_stream(HOST, self._coordinator.port)
         except OSError:
             return None
         connection = Connection(stream)
--- a/fordstair/lab/soak/coordinators.py
+++ b/fordstair/lab/soak/coordinators.py
@@ -22,6 +22,8 @@
 READY_S = 20.0
 END_S = 12.0  # after SIGTERM; the program's own bound is about 4 s, and pauses may fall into it
 LOOK_S = 0.02
+# Each run has a loopback host of its own: a coordinator that is down keeps its port from everybody else.
+HOST = f"127.{1 + os.getpid() % 200}.{1 + os.getpid() // 200 % 200}.1"
 _LOG_FAULT = re.compile(
     r"Traceback|invariant\.violated|(request|client|deadline|module|channel|priority)\.broke")
 
@@ -32,6 +34,7 @@
     def __init__(self, name: str, folder: Path, settings: dict[str, Any], record: SoakRecord) -> None:
         self.name, self.port = name, free_port()
         self.ready = False  # whether clients may come
+        self._follows = False  # whether the shim is in place and follows its signal
         self._settings, self._record = settings, record
         self._config, self._faults = folder / f"{name}.json", folder / f"{name}.faults.json"
         self._log = folder / f"{name}.log"
@@ -44,7 +47,7 @@
         self.write_config(known, channel)
         self._write_faults()
         environ = os.environ | {"RELAY_CONFIG": str(self._config), ENVIRONMENT_VARIABLE: str(self._faults)}
-        before, self._wanted = self._text().count("front=listens"), False
+        before, self._wanted, self._follows = self._text().count("front=listens"), False, False
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "fordstair.lab.fault_shim"], env=environ, stdin=subprocess.DEVNULL,
@@ -52,11 +55,11 @@
         with trio.move_on_after(READY_S):
             while self._text().count("front=listens") == before and self._process.poll() is None:
                 await trio.sleep(LOOK_S)
-            self.ready = self._process.poll() is None
+            self.ready = self._follows = self._process.poll() is None
 
     def write_config(self, known: dict[str, Any], channel: str) -> None:
         """Write what it is told, for a start or a reload."""
-        told = {"name": self.name, "listen": f"127.0.0.1:{self.port}", "seed": f"{self.port:x}",
+        told = {"name": self.name, "listen": f"{HOST}:{self.port}", "seed": f"{self.port:x}",
                 "channel": channel, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                 "known": known, "settings": self._settings}
         self._config.write_text(ujson.dumps(told))
@@ -127,7 +130,7 @@
 
     async def _apply(self) -> None:
         self._write_faults()
-        if self._process is None or self._process.poll() is not None or not self.ready:
+        if self._process is None or self._process.poll() is not None or not self._follows:
             return
         before = self._text().count(APPLIED)
         self.signal(signal.SIGUSR2)
@@ -153,7 +156,7 @@
 
 
 def free_port() -> int:
-    """Return a port on loopback that nobody has just now."""
+    """Return a port on this run's loopback host that nobody has just now."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((HOST, 0))
         return int(sock.getsockname()[1])
--- a/fordstair/net/engine_call.py
+++ b/fordstair/net/engine_call.py
@@ -86,7 +86,7 @@
             failed = self.end(Status.CONNECT_FAILED, str(error))
             failed.reached, failed.late = error.refused, error.late
             raise failed from error
-        why, broken = "silence", False
+        why = "silence"
         try:
             if not await errand.may_go():  # it began to drain, or was replaced, while the connection came up
                 raise self.end(Status.MOOT, "the engine takes nothing new")
@@ -97,13 +97,12 @@
                 self.heard = True
                 return self._read(connection, answer, self.read)
         except Broken as error:
-            why, broken = str(error), True
+            why = str(error)
         finally:
             if connection.whole:
                 self.posted_ms = self.deadlines.clock()
-                # What has come and is not read yet: then it is this program that is late, not the engine. An
-                # end or a reset of the connection is readable too, and shows nothing.
-                self.heard = self.heard or (not broken and connection.sock.is_readable())
+                # What has come and is not read yet: then it is this program that is late, not the engine.
+                self.heard = self.heard or connection.has_unread_bytes
             # One that was stopped closes at once: a machine that was cut off and comes back would read the
             # POST from it, and run the query beside the next attempt.
             self.pool.release(connection)
--- a/fordstair/net/http_client.py
+++ b/fordstair/net/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import ssl
 import struct
@@ -122,6 +123,15 @@
         between = states in ((h11.IDLE, h11.IDLE), (h11.DONE, h11.DONE))  # not used yet, or between two calls
         return between and not (self.spoilt or self._h11.trailing_data[0] or self.sock.is_readable())
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes have come that are not read yet; an end or a reset, though readable too, says no."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN | select.POLLRDHUP)
+        ended = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+        events = [event for _, event in poll.poll(0)]
+        return any(event & select.POLLIN and not event & ended for event in events)
+
     def close(self) -> None:
         """Close at once, and drop what has not left yet: it must not reach whoever comes back there."""
         with contextlib.suppress(OSError):
--- a/fordstair/net/listener.py
+++ b/fordstair/net/listener.py
@@ -15,9 +15,24 @@
 
 log = Events(__name__)
 
+OPEN_MOST_MS = 10_000.0  # for a listening socket to be had at the start
+
 Serve = Callable[[trio.SocketStream, float], Awaitable[None]]
 
 
+async def open_listeners(host: str, port: int, deadlines: Deadlines) -> list[trio.SocketListener]:
+    """Open the listening sockets of an address; raise OSError where that is no trouble of a moment."""
+    until_ms, backoff = deadlines.clock() + OPEN_MOST_MS, Backoff()
+    while True:
+        try:
+            return await trio.open_tcp_listeners(port, host=host)
+        except OSError as error:
+            if scope_of(error, binding=True) is not Scope.TRANSIENT or deadlines.clock() > until_ms:
+                raise
+            log.warning("listen.fails", host=host, port=port, why=error)
+            await deadlines.sleep(backoff.pause_ms())
+
+
 class ClientListener:
     """One listening socket. Each client is handed on with how long at most it waited for that."""
 
--- a/fordstair/net/system_errors.py
+++ b/fordstair/net/system_errors.py
@@ -25,8 +25,10 @@
 FIRST_PAUSE_MS, LONGEST_PAUSE_MS = 2.0, 25.0
 
 
-def scope_of(error: OSError) -> Scope:
+def scope_of(error: OSError, *, binding: bool = False) -> Scope:
     """Return what an error tells of; an unknown one is of its connection."""
+    if binding and error.errno == errno.EADDRNOTAVAIL:  # the address is none of this machine's
+        return Scope.PROGRAM
     if error.errno in _TRANSIENT:
         return Scope.TRANSIENT
     return Scope.PROGRAM if error.errno in _PROGRAM else Scope.CONNECTION
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -21,7 +21,7 @@
 from fordstair.core.start_times import StartTimes
 from fordstair.net.command_channel import CommandChannel
 from fordstair.net.lateness import PollWatch
-from fordstair.net.listener import ClientListener, Serve
+from fordstair.net.listener import ClientListener, Serve, open_listeners
 from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
 from fordstair.net.pool import Pool
 from fordstair.net.rest_engine import RestTransport
@@ -334,7 +334,7 @@
         async with trio.open_nursery() as clients:
             with scope:
                 try:
-                    listeners = await trio.open_tcp_listeners(listen[1], host=listen[0])
+                    listeners = await open_listeners(*listen, self.deadlines)
                 except OSError as error:
                     raise ConfigError(f"{name}: {listen[0]}:{listen[1]}: {error}") from None
                 self.listeners += listeners
--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -47,11 +47,11 @@
 
 
 @asynccontextmanager
-async def faulty_program(told: dict[str, Any]) -> AsyncIterator[tuple[Program, Faults]]:
-    """Run the program under the fault shim, without any fault yet."""
+async def faulty_program(told: dict[str, Any], **faults: Any) -> AsyncIterator[tuple[Program, Faults]]:
+    """Run the program under the fault shim, with these faults from its start."""
     with TemporaryDirectory() as folder:
         path = Path(folder) / "faults.json"
-        path.write_text("{}")
+        path.write_text(ujson.dumps(faults))
         async with program(told, module="fordstair.lab.fault_shim",
                            environ={ENVIRONMENT_VARIABLE: str(path)}) as node:
             yield node, Faults(node, path)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -40,6 +40,18 @@
     trio.run(scene)
 
 
+def test_a_start_bears_that_no_socket_can_be_had_for_a_moment() -> None:
+    async def scene() -> None:
+        faults = {"calls": {"open": {"errno": "ENFILE", "chance": 0.8}}, "seed": 5}
+        async with engine() as one, faulty_program(config(one.address), **faults) as (node, shim):
+            await shim.apply()
+            client = await node.client()
+            assert await client.answer(await client.ask()) == (None, ROWS)
+            assert any("listen.fails" in line for line in node.log)
+
+    trio.run(scene)
+
+
 async def at_once_on_fresh_connections(one: RestEngine, method: str, path: str, headers: dict[str, str],
                                        body: bytes) -> Answered | bytes | None:
     """Serve in one page, and end the connection after each answer."""
@@ -129,3 +141,36 @@
             assert len(one.posts) == 1
 
     trio.run(scene)
+
+
+def test_a_reset_that_comes_during_a_pause_does_not_show_that_the_engine_has_read_the_post() -> None:
+    """The wait for the answer ends with the pause, just as the reset is seen (soak, seed 12)."""
+    async def scene() -> None:
+        reset = trio.Event()
+
+        async def hangs(one: RestEngine, method: str, path: str, headers: dict[str, str],
+                        body: bytes) -> Answered | bytes | None:
+            if method == "POST":
+                await reset.wait()
+                return None
+            if method == "DELETE":
+                return 204, {}, b""
+            await trio.sleep_forever()
+            return None
+
+        async with engine(hangs) as one, engine(hangs) as two, \
+                program(config(one.address, two.address)) as node:
+            client = await node.client()
+            number = await client.ask(limit="6000")
+            with trio.fail_after(5.0):
+                while not one.posts and not two.posts:
+                    await trio.sleep(0.005)
+            await trio.sleep(0.1)
+            os.kill(node.process.pid, signal.SIGSTOP)
+            reset.set()
+            await trio.sleep(0.9)  # past the time for which an engine may say nothing
+            os.kill(node.process.pid, signal.SIGCONT)
+            error, _ = await client.answer(number, 8.0)
+            assert (error[0], len(one.posts) + len(two.posts)) == ("Overloaded", 1)
+
+    trio.run(scene)
