--- a/fordstair/lab/soak/clients.py
+++ b/fordstair/lab/soak/clients.py
@@ -72,15 +72,12 @@
             connection.last += 1
             number = connection.last
             request = RequestRecord(txn, lane, self._coordinator.name, self._now_s(), limit_s)
-            data = msgpack.packb([0, number, lane, [fields, body]])
-            if not await self._write(connection, data):
+            connection.open[number] = connection.asked[number] = request  # the answer may come at once
+            if not await self._write(connection, msgpack.packb([0, number, lane, [fields, body]])):
+                connection.open.pop(number, None)
                 return  # it was never written whole: nobody owes it an answer
-            request.sent_s = self._now_s()
+            request.sent_s = min(self._now_s(), *(at_s for at_s, _ in request.answers), request.closed_s)
             self._record.requests.append(request)
-            if connection.over:
-                request.closed_s = self._now_s()
-                return
-            connection.open[number] = connection.asked[number] = request
         await self._maybe_go(connection, number, request)
 
     async def _write(self, connection: Connection, data: bytes) -> bool:
