--- a/fordstair/lab/fault_shim.py
+++ b/fordstair/lab/fault_shim.py
@@ -26,6 +26,8 @@
 
 import ujson
 
+from fordstair.held_signals import hold_back
+
 ENVIRONMENT_VARIABLE = "FORDSTAIR_FAULTS"
 APPLIED = "fault_shim: applied"
 
@@ -103,6 +105,7 @@
 
 def main() -> int:
     """Install the faults, and run the program on this command line."""
+    hold_back()
     shim = FaultShim(Path(os.environ[ENVIRONMENT_VARIABLE]))
     shim.load()
     shim.install()
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -19,6 +19,7 @@
 from fordstair.core.events import Events
 from fordstair.core.ports import Engine, Transport
 from fordstair.core.start_times import StartTimes
+from fordstair.held_signals import deliver
 from fordstair.net.command_channel import CommandChannel
 from fordstair.net.lateness import PollWatch
 from fordstair.net.listener import ClientListener, Serve, open_listeners
@@ -287,6 +288,7 @@
         """SIGHUP reads the configuration anew, SIGUSR1 prints the counters, SIGTERM and SIGINT end it."""
         wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
         with trio.open_signal_receiver(*wanted) as signals:
+            deliver()
             task_status.started()
             async for number in signals:
                 if number == signal.SIGHUP:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -4,12 +4,16 @@
 
 import os
 import signal
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 import trio
+import ujson
 
 from fordstair.lab.soak.plan import ERRNOS
-from tests.standins import Answered, Client, RestEngine, at_once, config, engine, program
+from tests.standins import ROOT, Answered, Client, RestEngine, at_once, config, engine, program
 from tests.test_stepped_clock import ROWS, faulty_program
 
 SLACK_MS = 150.0
@@ -52,6 +56,23 @@
     trio.run(scene)
 
 
+def test_a_new_configuration_that_is_told_during_the_start_is_read_after_it(tmp_path: Path) -> None:
+    """The start waits at a pipe for its configuration; the signal comes just then (soak, seed 3)."""
+    pipe = tmp_path / "config"
+    os.mkfifo(pipe)
+    with subprocess.Popen([sys.executable, "-m", "fordstair"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                          env=os.environ | {"RELAY_CONFIG": str(pipe)}) as process:
+        assert process.stderr is not None
+        with pipe.open("w") as writer:  # opens once the program reads
+            process.send_signal(signal.SIGHUP)
+            writer.write(ujson.dumps(config()))
+        pipe.write_text(ujson.dumps(config()))  # read once more, for the signal
+        lines = process.stderr.readline() + process.stderr.readline()
+        assert "listening" in lines and "configuration.reloaded" in lines
+        process.terminate()
+        assert process.wait(20.0) == 0
+
+
 async def at_once_on_fresh_connections(one: RestEngine, method: str, path: str, headers: dict[str, str],
                                        body: bytes) -> Answered | bytes | None:
     """Serve in one page, and end the connection after each answer."""
