Let the test of a signal during the start wait for nothing twice

The path is a plain file by then, and a guard ends the program after 30 s; the assertions are the same.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -58,19 +59,23 @@
 
 def test_a_new_configuration_that_is_told_during_the_start_is_read_after_it(tmp_path: Path) -> None:
     """The start waits at a pipe for its configuration; the signal comes just then (soak, seed 3)."""
-    pipe = tmp_path / "config"
-    os.mkfifo(pipe)
+    path, later = tmp_path / "config", tmp_path / "later"
+    os.mkfifo(path)
+    later.write_text(ujson.dumps(config()))
     with subprocess.Popen([sys.executable, "-m", "fordstair"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
-                          env=os.environ | {"RELAY_CONFIG": str(pipe)}) as process:
-        assert process.stderr is not None
-        with pipe.open("w") as writer:  # opens once the program reads
+                          env=os.environ | {"RELAY_CONFIG": str(path)}) as process:
+        guard = threading.Timer(30.0, process.kill)
+        guard.start()
+        with path.open("w") as writer:  # opens once the program reads
             process.send_signal(signal.SIGHUP)
             writer.write(ujson.dumps(config()))
-        pipe.write_text(ujson.dumps(config()))  # read once more, for the signal
+            later.rename(path)  # what is read for the signal is no pipe any more
+        assert process.stderr is not None
         lines = process.stderr.readline() + process.stderr.readline()
         assert "listening" in lines and "configuration.reloaded" in lines
         process.terminate()
-        assert process.wait(20.0) == 0
+        assert process.wait() == 0
+        guard.cancel()
 
 
 async def at_once_on_fresh_connections(one: RestEngine, method: str, path: str, headers: dict[str, str],
