--- a/fordstair/cli/serve.py
+++ b/fordstair/cli/serve.py
@@ -16,8 +16,8 @@
     log = setup.start(file.log.form, file.log.level, file.log.repeat_seconds, file.log.lines_most)
     try:
         program = Program(site.config(file), site.operator(file), lambda: _again(path))
-        if program.door is not None:
-            log.watchers.append(program.door.note)
+        if program.console_server is not None:
+            log.watchers.append(program.console_server.note)
         trio.run(program.run)
     except* ConfigError as group:
         faults = [str(error) for error in _leaves(group)]
--- a/fordstair/core/turns.py
+++ b/fordstair/core/admission_queue.py
@@ -13,28 +13,29 @@
 
 if TYPE_CHECKING:
     from fordstair.budgets.caps import Caps
-    from fordstair.core.coordinator import Coordinator, Live
+    from fordstair.core.coordinator import Coordinator
+from fordstair.core.live_request import LiveRequest
 
 PREEMPT_MS = 200.0  # between two looks at who runs beyond a budget
 TICK_MS = 20.0  # between two looks while something waits: room also comes without an end, as pressure falls
 LATER_LEAST_MS = 100.0
 
 
-class Turns:
+class AdmissionQueue:
     """Puts a scheduler before one coordinator's module."""
 
     def __init__(self, coordinator: Coordinator, scheduler: Scheduler, threads_a_core: float,
                  caps: Caps | None = None, seed: int = 1) -> None:
         self.coordinator, self.scheduler, self.threads_a_core = coordinator, scheduler, threads_a_core
         self.caps, self.places = caps, Places(seed)  # this coordinator's part of a fleet's budgets, if any
-        self._lives: dict[int, Live] = {}
+        self._lives: dict[int, LiveRequest] = {}
         self._ticking = False
         self.preemption, self._preempted_ms = Preemption(), 0.0
 
     def __len__(self) -> int:
         return len(self._lives)
 
-    async def wait(self, live: Live) -> None:
+    async def wait(self, live: LiveRequest) -> None:
         """Wait until the module has been told of the request, or it is over."""
         told, now = self.coordinator.arrival(live), self.coordinator.deadlines.clock()
         gateway, spec = self.coordinator.gateway, self.coordinator.settings.classes[told.klass]
@@ -59,7 +60,7 @@
             self._tick()
             await live.ordered.wait()
 
-    def forget(self, live: Live) -> bool:
+    def forget(self, live: LiveRequest) -> bool:
         """Take a request out, in the table and in the queue alike; whether it waited here."""
         if self._lives.pop(live.id, None) is None:
             return False
@@ -82,7 +83,7 @@
             self.coordinator.tell(self.coordinator.arrival(live))
             live.ordered.set()
 
-    def ended(self, live: Live) -> None:
+    def ended(self, live: LiveRequest) -> None:
         """A request is over: what it held is settled, and others may have their turn."""
         self.forget(live)
         if self.caps is not None:
@@ -90,14 +91,14 @@
         self.scheduler.ended(live.id, self.coordinator.deadlines.clock(), live.held_ms)
         self.release()
 
-    def withdraw(self, live: Live) -> bool:
+    def withdraw(self, live: LiveRequest) -> bool:
         """The program ends: whether the request was waiting here, and is answered."""
         if not self.forget(live):
             return False
         self._refuse(live, Refused.ENDING, 0.0)
         return True
 
-    def _gives_up(self, live: Live) -> None:
+    def _gives_up(self, live: LiveRequest) -> None:
         if self.caps is not None:
             threads = self.coordinator.settings.classes[live.query.klass].threads
             self.caps.gives_up(live.query.tenant, live.query.klass, threads)
@@ -111,7 +112,7 @@
             return Room.FITS
         return Room.CLASS_FULL if item.klass in gateway.limits else Room.FULL
 
-    def _refuse(self, live: Live, why: Refused, later_ms: float) -> None:
+    def _refuse(self, live: LiveRequest, why: Refused, later_ms: float) -> None:
         """Answer at once, with the time from which there is room: nothing of it ever ran."""
         settings = self.coordinator.settings
         later = self.places.next(self.coordinator.deadlines.clock(), max(LATER_LEAST_MS, later_ms),
@@ -155,7 +156,7 @@
                 now, [self._runs(each, now) for each in live.values()], within, waiting, groups):
             self.coordinator.lower(live[id], lowered)
 
-    def _runs(self, live: Live, now: float) -> Runs:
+    def _runs(self, live: LiveRequest, now: float) -> Runs:
         """Return one attempt as pre-emption sees it."""
         coordinator, query = self.coordinator, live.query
         attempt = coordinator.gateway.attempts.get((live.id, live.attempts - 1))
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -5,9 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING
 
 import trio
 
@@ -39,14 +37,12 @@
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.events import Events
+from fordstair.core.extensions import AttemptWatch, RequestQueue
 from fordstair.core.invariants import Invariant, Invariants
+from fordstair.core.live_request import AttemptOutcome, LiveRequest
 from fordstair.core.ports import AttemptFailed, Call, Engine, Errand, Query, Reply, Transport
 from fordstair.core.send_guard import Denial, SendGuard
 
-if TYPE_CHECKING:  # loaded only where the operator's file sets budgets
-    from fordstair.core.reach import Reach
-    from fordstair.core.turns import Turns
-
 log = Events(__name__)
 
 # A client counts its limit from its send, which happened before the request was read here, and the
@@ -55,55 +51,6 @@
 LARGEST_RESULT = 1024 * 1024
 
 
-@dataclass(slots=True, eq=False)
-class Live:
-    """A request that is being worked on."""
-
-    id: int
-    query: Query
-    reply: Reply
-    taken_ms: float
-    deadline_ms: float
-    guard: SendGuard
-    urgency: int = 1
-    lowered: bool = False  # runs beyond its team's budget while others wait
-    attempts: int = 0
-    held_ms: float = 0.0  # thread-milliseconds at engines so far
-    engine: str = ""
-    over: bool = False  # its final answer is given, or nobody waits for one
-    order: Send | None = None
-    ordered: trio.Event = field(default_factory=trio.Event)
-    call: Call | None = None
-    scope: trio.CancelScope | None = None  # of the attempt that is out
-
-    async def next_order(self) -> Send | None:
-        """Wait for the module's next send; None once the request is over."""
-        while self.order is None and not self.over:
-            self.ordered = trio.Event()
-            await self.ordered.wait()
-        order, self.order = self.order, None
-        return order
-
-    def end(self) -> None:
-        """Nothing more is owed to the client; what is out is given up."""
-        self.over = True
-        self.ordered.set()
-        if self.scope is not None:
-            self.scope.cancel()
-
-
-@dataclass(slots=True)
-class Outcome:
-    """How an attempt ended, put down while it is followed."""
-
-    status: Status = Status.CANCELLED
-    pages: list[bytes] = field(default_factory=list)
-    report: tuple[float, ...] = ()
-    loose: bool = False  # it may begin or run yet
-    late: bool = False  # its connection may come up yet
-    why: str = ""
-
-
 def _nobody() -> None:
     """Nobody looks on."""
 
@@ -117,7 +64,7 @@
         self.deadlines, self.counters, self.invariants = deadlines, counters, Invariants(counters)
         self.gateway = Gateway(settings, seed)
         self.engines: dict[str, Engine] = {}
-        self.live: dict[int, Live] = {}
+        self.live: dict[int, LiveRequest] = {}
         self._txns: set[str] = set()
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
@@ -126,8 +73,8 @@
         self.aside: set[str] = set()  # ids of engines that an operator has set aside, listed or not
         self.refusals: Counter[tuple[str, str]] = Counter()  # by class and the module's reason
         self.on_change: Callable[[], None] = _nobody  # called at each transition, for those who look on
-        self.turns: Turns | None = None  # where requests wait before the module hears of them
-        self.reach: Reach | None = None  # where halls that fall silent are found out
+        self.admission_queue: RequestQueue | None = None
+        self.zone_watch: AttemptWatch | None = None
         self._last_id = 0
         self._nursery: trio.Nursery | None = None
 
@@ -137,14 +84,14 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def take(self, query: Query, reply: Reply) -> Live:
+    def take(self, query: Query, reply: Reply) -> LiveRequest:
         """Take a request in; its reply gets exactly one final answer, unless the client leaves."""
         assert self._nursery is not None, "the coordinator is not running"
         self._last_id += 1
         now = self.deadlines.clock()
         spec = self.settings.classes[query.klass]
         left_ms = max(0.0, query.limit_ms - TRANSIT_MS - query.waited_ms)
-        live = Live(self._last_id, query, reply, now, now + left_ms,
+        live = LiveRequest(self._last_id, query, reply, now, now + left_ms,
                     SendGuard(spec.effect, spec.memory_span_ms))
         self.live[live.id] = live
         self._txns.add(query.txn.lower())
@@ -160,12 +107,12 @@
         """Whether a request under this id is being worked on."""
         return txn.lower() in self._txns
 
-    def leave(self, live: Live) -> None:
+    def leave(self, live: LiveRequest) -> None:
         """The client has stopped waiting: no answer is owed."""
         if not live.over:
             self.counters.add("client.left")
             live.end()
-            if self.turns is None or not self.turns.forget(live):
+            if self.admission_queue is None or not self.admission_queue.forget(live):
                 self.tell(ClientGone(live.id))
 
     @property
@@ -177,10 +124,10 @@
         """The program ends: the module gives its word on every request that is still open, or comes yet."""
         self.closed = True
         for live in [live for live in self.live.values() if not live.over]:
-            if self.turns is None or not self.turns.withdraw(live):
+            if self.admission_queue is None or not self.admission_queue.withdraw(live):
                 self.tell(Withdrawn(live.id))
 
-    async def _guarded(self, live: Live) -> None:
+    async def _guarded(self, live: LiveRequest) -> None:
         """Keep a fault in one request from taking down the others: it becomes a failed answer."""
         try:
             await self.serve(live)
@@ -194,12 +141,12 @@
                 self.answer(live, "failed", partial(live.reply.failed, "internal error"))
             self.live.pop(live.id, None)
             self._txns.discard(live.query.txn.lower())
-            if self.reach is not None:
-                self.reach.ended(live.id)
-            if self.turns is not None:
-                self.turns.ended(live)
+            if self.zone_watch is not None:
+                self.zone_watch.ended(live.id)
+            if self.admission_queue is not None:
+                self.admission_queue.ended(live)
 
-    def _write_off(self, live: Live) -> None:
+    def _write_off(self, live: LiveRequest) -> None:
         """Tell the module that nothing is out; else it would count the attempt's threads for good."""
         try:
             self.tell(ClientGone(live.id))
@@ -207,20 +154,20 @@
         except Exception:
             log.exception("module.broke", txn=live.query.txn)
 
-    async def serve(self, live: Live) -> None:
+    async def serve(self, live: LiveRequest) -> None:
         """One request from its arrival to its single final answer."""
         if live.over:  # withdrawn before its turn came: the module must not plan for it
             return
-        if self.turns is None or self.closed:
+        if self.admission_queue is None or self.closed:
             self.tell(self.arrival(live))
         else:
-            await self.turns.wait(live)
+            await self.admission_queue.wait(live)
         if self.closed:
             self.tell(Withdrawn(live.id))
         while (order := await live.next_order()) is not None:
             self.tell(await self._attempt(live, order))
 
-    async def _attempt(self, live: Live, order: Send) -> AttemptEnded:
+    async def _attempt(self, live: LiveRequest, order: Send) -> AttemptEnded:
         """Carry one attempt out; return its end, of which the module must hear whatever it was."""
         number, live.attempts = live.attempts, live.attempts + 1
         live.engine, live.lowered = order.engine, False
@@ -233,11 +180,14 @@
             return AttemptEnded(live.id, number, order.engine, Status.MOOT, 0.0, complete=live.over)
         self._note_sent(live, order, number)
         sent_ms = self.deadlines.clock()
-        call = live.call = self._call(live, engine, order, sent_ms)
-        outcome = Outcome()
-        with self.deadlines.limit(self._attempt_ends(live, order, sent_ms)) as live.scope:
+        until_ms = live.deadline_ms
+        if order.limit_ms > 0.0:
+            until_ms = min(until_ms, sent_ms + order.limit_ms)
+        call = live.call = self._call(live, engine, order, until_ms - sent_ms)
+        outcome = AttemptOutcome()
+        with self.deadlines.limit(until_ms) as live.scope:
             await self._follow(live, order, number, call, outcome)
-        if live.scope.cancelled_caught and self.deadlines.clock() >= self._attempt_ends(live, order, sent_ms):
+        if live.scope.cancelled_caught and self.deadlines.clock() >= until_ms:
             outcome.status = Status.TIMEOUT
         if outcome.status is not Status.OK:  # what may still run must be given up before the next attempt
             outcome.loose = not await call.drop()
@@ -251,24 +201,21 @@
             live.id, number, order.engine, outcome.status, took_ms, complete=live.over, report=outcome.report,
             loose=outcome.loose, late=outcome.late)
 
-    def _attempt_ends(self, live: Live, order: Send, sent_ms: float) -> float:
-        return min(live.deadline_ms, sent_ms + order.limit_ms) if order.limit_ms > 0.0 else live.deadline_ms
-
-    def _call(self, live: Live, engine: Engine, order: Send, sent_ms: float) -> Call:
-        limit_ms = self._attempt_ends(live, order, sent_ms) - sent_ms
+    def _call(self, live: LiveRequest, engine: Engine, order: Send, limit_ms: float) -> Call:
         # The transport asks the guard right before bytes go out: an engine may have begun to drain while a
         # connection came up, and the request may have been given up meanwhile.
         may_go = partial(self._may_go, live, engine, order)
         return self.transports[engine.protocol].call(
             Errand(live.query, engine, live.urgency, limit_ms, may_go))
 
-    async def _follow(self, live: Live, order: Send, number: int, call: Call, outcome: Outcome) -> None:
+    async def _follow(self, live: LiveRequest, order: Send, number: int, call: Call,
+                      outcome: AttemptOutcome) -> None:
         """Ask for an attempt until it has ended, and put down how."""
         try:
             news = await call.start()
             while news.running:
-                if self.reach is not None:
-                    self.reach.heard(live.id, order.engine)
+                if self.zone_watch is not None:
+                    self.zone_watch.heard(live.id, order.engine)
                 if news.note is not None:
                     self.tell(AttemptNote(live.id, number, order.engine, *news.note))
                 news = await call.news()
@@ -282,10 +229,10 @@
         except AttemptFailed as failure:
             outcome.status, outcome.report, outcome.late = failure.status, failure.report, failure.late
             outcome.why = str(failure)
-            if self.reach is not None and not failure.reached:
-                self.reach.missed(order.engine)
+            if self.zone_watch is not None and not failure.reached:
+                self.zone_watch.missed(order.engine)
 
-    def _held(self, live: Live, order: Send, denial: Denial) -> None:
+    def _held(self, live: LiveRequest, order: Send, denial: Denial) -> None:
         """Count an attempt that was not begun; whoever ordered one that no rule allows has a fault."""
         self.counters.add(f"held.{denial.name.lower()}")
         if (rule := denial.violates) is None:
@@ -293,29 +240,30 @@
         self.invariants.violated(rule, txn=live.query.txn, engine=order.engine, attempt=live.attempts - 1)
         self.answer(live, "failed", partial(live.reply.failed, denial.value))
 
-    def _note_sent(self, live: Live, order: Send, number: int) -> None:
+    def _note_sent(self, live: LiveRequest, order: Send, number: int) -> None:
         self.counters.add(f"sent.{live.query.lane}")
-        if self.reach is not None:
-            self.reach.sent(live.id)
+        if self.zone_watch is not None:
+            self.zone_watch.sent(live.id)
         if number:
             self.counters.add(f"repeated.{live.query.lane}")
             log.info("attempt.repeated", txn=live.query.txn, lane=live.query.lane, attempt=number,
                      engine=order.engine, left_ms=round(live.deadline_ms - self.deadlines.clock()))
 
-    def _note_end(self, live: Live, order: Send, number: int, outcome: Outcome, took_ms: float) -> None:
+    def _note_end(self, live: LiveRequest, order: Send, number: int, outcome: AttemptOutcome,
+                  took_ms: float) -> None:
         status = outcome.status
         live.held_ms += took_ms * self.settings.classes[live.query.klass].threads
         self.counters.add(f"outcome.{status.value}")
-        if self.reach is not None:
-            self.reach.ended(live.id)
+        if self.zone_watch is not None:
+            self.zone_watch.ended(live.id)
             if status is Status.OK:
-                self.reach.heard(live.id, order.engine)
+                self.zone_watch.heard(live.id, order.engine)
         if status is not Status.OK:
             log.info("attempt.ended", txn=live.query.txn, lane=live.query.lane, attempt=number,
                      engine=order.engine, status=status.value, unrun=status.proves_unrun,
                      loose=outcome.loose, after_ms=round(took_ms), why=outcome.why)
 
-    def arrival(self, live: Live) -> RequestArrived:
+    def arrival(self, live: LiveRequest) -> RequestArrived:
         """Return the request as the module is told it now, with the time that it has left."""
         query = live.query
         return RequestArrived(
@@ -372,8 +320,8 @@
                 self.engines[engine.entry.engine] = engine
             if engine.entry.state is EngineState.GONE:
                 self._retire(self.engines.pop(engine.entry.engine))
-        if self.reach is not None:
-            self.reach.listed()
+        if self.zone_watch is not None:
+            self.zone_watch.listed()
         self.counters.add("members.events")
         # As they are kept here: one that is listed again may stand in a hall that is avoided.
         known = (self.engines.get(engine.entry.engine, engine) for engine in listed)
@@ -395,7 +343,7 @@
         """Bound the threads that a class may have out; None lifts the bound."""
         self.tell(LimitSet(klass, threads))
 
-    async def _may_go(self, live: Live, engine: Engine, order: Send) -> bool:
+    async def _may_go(self, live: LiveRequest, engine: Engine, order: Send) -> bool:
         """Whether bytes may go out now; nothing runs between the look and them."""
         await live.reply.caught_up()
         if (denial := self._denial(live, engine, order)) is not None:
@@ -404,7 +352,7 @@
         live.guard.begin(self.deadlines.clock())
         return True
 
-    def _denial(self, live: Live, engine: Engine, order: Send) -> Denial | None:
+    def _denial(self, live: LiveRequest, engine: Engine, order: Send) -> Denial | None:
         """Return why an attempt must not begin now; None where it may."""
         if live.over:
             return Denial.REQUEST_OVER
@@ -425,14 +373,14 @@
         for transport in self.transports.values():
             transport.forget(engine)
 
-    def refuse(self, live: Live, later_ms: float, reason: str) -> None:
+    def refuse(self, live: LiveRequest, later_ms: float, reason: str) -> None:
         """Give the final answer that a retry is harmless, and count why."""
         self.refusals[live.query.lane, reason] += not live.over
         log.debug("request.refused", txn=live.query.txn, lane=live.query.lane, why=reason,
                   attempts=live.attempts)
         self.answer(live, "refused", partial(live.reply.refused, later_ms))
 
-    def answer(self, live: Live, how: str, answer: Callable[[], None]) -> None:
+    def answer(self, live: LiveRequest, how: str, answer: Callable[[], None]) -> None:
         """Give the one final answer, at once; a second one is never given."""
         if live.over:
             return
@@ -448,13 +396,13 @@
         if not live.lowered:
             self._pass_on(live, urgency)
 
-    def lower(self, live: Live, lowered: bool) -> None:
+    def lower(self, live: LiveRequest, lowered: bool) -> None:
         """Lower what runs, or give it its own priority again; it is never stopped."""
         live.lowered = lowered
         self._pass_on(live, 0 if lowered else live.urgency)
         self.counters.add("priority.lowered" if lowered else "priority.raised")
 
-    def _pass_on(self, live: Live, urgency: int) -> None:
+    def _pass_on(self, live: LiveRequest, urgency: int) -> None:
         if live.call is not None and self._nursery is not None:
             self._nursery.start_soon(self._hurry, live.call, urgency)
 
--- a/fordstair/core/reach.py
+++ b/fordstair/core/zone_watch.py
@@ -1,4 +1,4 @@
-"""Tells the module of halls that are out of reach: nothing new goes there until they are heard."""
+"""Tells the module of zones that are out of reach: nothing new goes there until they are heard."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from cairnhoist.interface import ListKind, MembersChanged
 from fordstair.core.events import Events
-from fordstair.routing.halls import SILENCE_MS, Halls
+from fordstair.routing.zones import SILENCE_MS, ZoneFailures
 
 if TYPE_CHECKING:
     from fordstair.core.coordinator import Coordinator
@@ -16,11 +16,11 @@
 LOOK_MS = 100.0  # between two looks at attempts that hear nothing, while any is out
 
 
-class Reach:
-    """Watches one coordinator's attempts for a hall that falls silent."""
+class ZoneWatch:
+    """Watches one coordinator's attempts for a zone that falls silent."""
 
     def __init__(self, coordinator: Coordinator) -> None:
-        self.coordinator, self.halls = coordinator, Halls()
+        self.coordinator, self.zones = coordinator, ZoneFailures()
         self._heard: dict[int, float] = {}  # by request, of attempts that are out
         self._starts: dict[str, float] = {}  # of the engines' processes, as last listed
         self._looking = False
@@ -29,11 +29,11 @@
         """The list of engines has changed."""
         engines = self.coordinator.engines
         starts = {name: engine.entry.started_ms for name, engine in engines.items()}
-        self.halls.listed(self._now(), {name: engine.entry.zone for name, engine in engines.items()},
+        self.zones.listed(self._now(), {name: engine.entry.zone for name, engine in engines.items()},
                           [name for name, at in starts.items() if at > self._starts.get(name, at)])
         self._starts = starts
         for name, engine in engines.items():
-            engine.avoided = self.halls.avoids(name)
+            engine.avoided = self.zones.avoids(name)
 
     def sent(self, request: int) -> None:
         """An attempt goes out."""
@@ -46,12 +46,12 @@
         """An engine has said something, whatever it was."""
         if request in self._heard:
             self._heard[request] = self._now()
-        if self.halls.heard(self._now(), engine):
+        if self.zones.heard(self._now(), engine):
             self._changed()
 
     def missed(self, engine: str) -> None:
         """A connect to an engine never came up."""
-        if self.halls.missed(self._now(), engine):
+        if self.zones.missed(self._now(), engine):
             self._changed()
 
     def ended(self, request: int) -> None:
@@ -64,20 +64,20 @@
             live = self.coordinator.live.get(request)
             if live is not None and now - heard_ms >= SILENCE_MS:
                 self.missed(live.engine)
-        if self.halls.tried_again(now):
+        if self.zones.tried_again(now):
             self._changed()
-        self._looking = bool(self._heard) or any(hall.avoided_until for hall in self.halls.halls.values())
+        self._looking = bool(self._heard) or any(zone.avoided_until for zone in self.zones.zones.values())
         if self._looking:
             self._look_later()
 
     def _look_later(self) -> None:
-        self.coordinator.deadlines.add(self._now() + LOOK_MS, self._look)
+        self.coordinator.deadlines.after(LOOK_MS, self._look)
 
     def _changed(self) -> None:
-        """Tell the module of the engines whose hall is avoided now, or not any more."""
+        """Tell the module of the engines whose zone is avoided now, or not any more."""
         turned = []
         for name, engine in self.coordinator.engines.items():
-            if engine.avoided != (avoided := self.halls.avoids(name)):
+            if engine.avoided != (avoided := self.zones.avoids(name)):
                 engine.avoided = avoided
                 turned.append(engine)
         for zone in {engine.entry.zone for engine in turned}:
--- a/fordstair/entry_point.py
+++ b/fordstair/entry_point.py
@@ -15,7 +15,7 @@
 from fordstair.program import Program
 
 if TYPE_CHECKING:
-    from fordstair.net.odata_model import Operator
+    from fordstair.net.clients.odata_model import Operator
 
 
 def told_by(path: str | None) -> tuple[Config, Operator | None]:
--- a/fordstair/feed/observe.py
+++ b/fordstair/feed/observe.py
@@ -14,7 +14,8 @@
 from cairnhoist.state import Engine as Believed
 from fordstair.adjust.ledger import Ledger
 from fordstair.core.clock import WallClock
-from fordstair.core.coordinator import Coordinator, Live
+from fordstair.core.coordinator import Coordinator
+from fordstair.core.live_request import LiveRequest
 from fordstair.core.ports import Engine
 from fordstair.feed.picture import (
     AdjustmentView,
@@ -103,7 +104,7 @@
             round(trust, 3), round(warmth, 2), round(seen.strikes, 2), self._unix(seen.heard_at),
             self._unix(seen.report_at), priorities=engine.protocol != "odata")
 
-    def _classes(self, live: list[Live]) -> dict[str, ClassView]:
+    def _classes(self, live: list[LiveRequest]) -> dict[str, ClassView]:
         counters, gateway = self.coordinator.counters, self.coordinator.gateway
         views = dict[str, ClassView]()
         for k, spec in enumerate(self.coordinator.settings.classes):
@@ -116,8 +117,8 @@
                 counters[f"taken.{spec.name}"], served, refused, failed, self._oldest(mine))
         return views
 
-    def _teams(self, live: list[Live]) -> dict[str, TeamView]:
-        by_team: dict[int, list[Live]] = {t: [] for t in range(len(self.coordinator.settings.tenants))}
+    def _teams(self, live: list[LiveRequest]) -> dict[str, TeamView]:
+        by_team: dict[int, list[LiveRequest]] = {t: [] for t in range(len(self.coordinator.settings.tenants))}
         for each in live if by_team else ():
             by_team[each.query.tenant].append(each)
         classes = self.coordinator.settings.classes
@@ -127,16 +128,16 @@
             self._oldest(by_team[t]), *self._outlook(t))
             for t, tenant in enumerate(self.coordinator.settings.tenants)}
 
-    def _oldest(self, live: list[Live]) -> float:
+    def _oldest(self, live: list[LiveRequest]) -> float:
         return round(self._unix(live[0].taken_ms), 1) if live else 0.0
 
     def _outlook(self, team: int) -> tuple[int, float | None]:
-        if (turns := self.coordinator.turns) is None:
+        if (queue := self.coordinator.admission_queue) is None:
             return 0, None
-        queued, wait_ms = turns.outlook(team)
+        queued, wait_ms = queue.outlook(team)
         return queued, round(wait_ms)
 
-    def _requests(self, live: list[Live]) -> dict[str, RequestView]:
+    def _requests(self, live: list[LiveRequest]) -> dict[str, RequestView]:
         teams = [tenant.name for tenant in self.coordinator.settings.tenants] or [""]
         return {str(each.id): RequestView(  # taken in order: the first are the oldest
             each.id, each.query.txn, each.query.lane, teams[each.query.tenant],
--- a/fordstair/lab/site.py
+++ b/fordstair/lab/site.py
@@ -1,8 +1,8 @@
 """A site in virtual time: several coordinators, each the real core with queues and module, before engines.
 
 What ``virtual.World`` plays with one decision module, this plays with the program's own ``Coordinator``,
-``Turns`` and, where a plan is given, the fleet's budgets on a network with faults. Only fronts and engine
-transports are replaced, at their ports. To be run by ``clockwork.play``; deterministic by seed.
+``AdmissionQueue`` and, where a plan is given, the fleet's budgets on a network with faults. Only fronts and
+engine transports are replaced, at their ports. To be run by ``clockwork.play``; deterministic by seed.
 """
 
 from __future__ import annotations
@@ -20,12 +20,12 @@
 from fordstair.budgets.caps import Caps
 from fordstair.budgets.node import ASKS_A_TERM
 from fordstair.budgets.whole import Plan
+from fordstair.core.admission_queue import AdmissionQueue
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import AttemptFailed, Engine, Errand, News, Query
-from fordstair.core.reach import Reach
-from fordstair.core.turns import Turns
+from fordstair.core.zone_watch import ZoneWatch
 from fordstair.lab.billing_close import Arrival
 from fordstair.lab.clockwork import now_ms
 from fordstair.lab.machine import Job, Machine
@@ -269,23 +269,26 @@
         self.coordinator = Coordinator(site.settings, seed, {"rest": self}, self.deadlines, Counters())
         self.records: dict[int, Record] = {}  # by the coordinator's id, of those it has taken in
         self.work_ms: dict[str, float] = {}  # by the client's id: the true work of each query
+        self.admission_queue: AdmissionQueue | None = None
         if site.halls:
-            self.coordinator.reach = Reach(self.coordinator)
+            self.coordinator.zone_watch = ZoneWatch(self.coordinator)
         if site.queueing is not None:
             told = site.queueing
             scheduler = Watched(dict(told.shares), 1.0, burst_ms=told.burst_ms, debt_ms=told.debt_ms)
             scheduler.records = self.records
-            self.coordinator.turns = Turns(self.coordinator, scheduler, told.threads_a_core, seed=seed)
+            self.admission_queue = AdmissionQueue(
+                self.coordinator, scheduler, told.threads_a_core, seed=seed)
+            self.coordinator.admission_queue = self.admission_queue
 
     def share(self, fleet: Fleet) -> Caps:
         """Take part in the fleet's budgets, as the program does where the operator's file says so."""
-        turns, settings = self.coordinator.turns, self.settings
-        assert turns is not None, "budgets of a fleet need queues"
-        turns.caps = Caps(
+        queue, settings = self.admission_queue, self.settings
+        assert queue is not None, "budgets of a fleet need queues"
+        queue.caps = Caps(
             fleet.plan.wholes, [each.name for each in settings.tenants],
             [each.name for each in settings.classes], lambda now: fleet.share_of(self.name),
             fleet.plan.term_ms / ASKS_A_TERM)
-        return turns.caps
+        return queue.caps
 
     def call(self, errand: Errand) -> Attempt:
         """Prepare one attempt; the ``Transport`` of ports.py."""
--- /dev/null
+++ b/fordstair/net/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and requests of clients, in each protocol that clients speak."""
--- a/fordstair/net/listener.py
+++ b/fordstair/net/clients/listener.py
@@ -10,7 +10,7 @@
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.events import Events
-from fordstair.net.lateness import PollWatch
+from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.system_errors import Backoff, Scope, scope_of
 
 log = Events(__name__)
--- a/fordstair/net/odata_front.py
+++ b/fordstair/net/clients/odata_front.py
@@ -17,12 +17,13 @@
 import trio
 import ujson
 
-from fordstair.core.coordinator import Coordinator, Live
+from fordstair.core.coordinator import Coordinator
 from fordstair.core.events import Events
+from fordstair.core.live_request import LiveRequest
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
-from fordstair.net.closing import linger
-from fordstair.net.odata_model import (
+from fordstair.net.clients.closing import linger
+from fordstair.net.clients.odata_model import (
     EntitySet,
     ODataError,
     Operator,
@@ -32,7 +33,7 @@
     read_resource,
     understand,
 )
-from fordstair.net.repeats import OwnRepeats, Repeats
+from fordstair.net.clients.repeatable_requests import OwnRepeats, Repeats
 
 log = Events(__name__)
 
@@ -176,7 +177,7 @@
         self.http = h11.Connection(h11.SERVER)
         self.asked = False  # it has sent a whole request
         self.gone = False  # the client has left: nothing more of its batch is begun
-        self.live: Live | None = None
+        self.live: LiveRequest | None = None
         self.reply = Reply()
         self.until_ms = math.inf  # when the patience that a batch was sent with ends
 
--- a/fordstair/net/msgpack_rpc.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -1,31 +1,28 @@
-"""The platform's front: MessagePack-RPC over TCP, kept thin."""
+"""One client's connection to the platform's front: MessagePack-RPC over TCP."""
 
 from __future__ import annotations
 
 import math
-import re
-from collections import deque
 from collections.abc import Sequence
 from typing import Any
 
 import msgpack
 import trio
 
-from fordstair.core.coordinator import Coordinator, Live
+from fordstair.core.coordinator import Coordinator
 from fordstair.core.deadlines import Ticket
 from fordstair.core.events import Events
 from fordstair.core.invariants import Invariant
-from fordstair.core.ports import Query
-from fordstair.core.statements import table_group
-from fordstair.net.closing import linger, shut
-from fordstair.net.lateness import PollWatch
-from fordstair.net.messagepack import Incomplete, Malformed, read
+from fordstair.core.live_request import LiveRequest
+from fordstair.net.clients.closing import linger, shut
+from fordstair.net.clients.messagepack import Incomplete, Malformed, read
+from fordstair.net.clients.poll_watch import PollWatch
+from fordstair.net.clients.rpc_query import BadRequest, read_query
 
 log = Events(__name__)
 
 READ_BYTES = 65_536
 OPEN_MOST = 32
-LARGEST_STATEMENT = 256 * 1024
 HEAD_BYTES = 4_096  # what a message holds beside its statement
 # A client that does not read its answers is not read from either, so that its answers cannot pile up.
 UNSENT_MOST = 256 * 1024
@@ -36,63 +33,12 @@
 WHOLE_MS, UNREAD_MS = 2_000.0, 250.0
 CATCH_UP_MS = 1.0  # between two looks whether what a client has written is read
 ACCEPT_USUAL_MS = 20.0  # a connection that is accepted as soon has not brought a message that is late
-GREET_MS = 300.0  # for a new connection, while there are others to shed
-SORT_MS = 50.0  # an order of whom to shed holds for so long: a flood of connections must not cost a sort each
 WRITE_MS = 5_000.0  # for an answer to leave: a client that reads nothing is not kept for ever
 # Who asks for what cannot be used, again and again, is read from more slowly; its answers are not delayed.
 PAUSE_MS, PAUSE_MOST_MS = 5.0, 100.0
-_NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?", re.ASCII)
-_TXN = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
 REQUEST, RESPONSE, NOTIFICATION = 0, 1, 2
 
 
-class BadRequest(Exception):
-    """A request that cannot be used; the text says why."""
-
-
-def read_query(method: str, params: Any, coordinator: Coordinator, largest: int,
-               waited_ms: float = 0.0) -> Query:
-    """Read a request's fields and statement; raise BadRequest, naming what cannot be used."""
-    if method not in coordinator.classes:
-        raise BadRequest(f"unknown class {method[:40]!r}")
-    if not isinstance(params, list) or len(params) != 2 or not isinstance(params[0], dict):
-        raise BadRequest("params must be a map and a body")
-    fields, body = params
-    if not isinstance(body, memoryview) or len(body) > largest:
-        raise BadRequest(f"the body must be at most {largest} bytes")
-    txn = _text(fields, b"txn")
-    if not _TXN.fullmatch(txn):
-        raise BadRequest("txn must be 16 hex digits")
-    if coordinator.knows(txn):  # an engine could not tell the two queries apart
-        raise BadRequest("a request with this txn is open")
-    team = _text(fields, b"team") if coordinator.tenants else ""  # of a site without teams it says nothing
-    if (tenant := coordinator.tenant_of(team)) is None:
-        raise BadRequest(f"unknown team {team[:40]!r}")
-    statement = bytes(body)  # the copy outlives the read buffer
-    return Query(txn, method, coordinator.classes[method], tenant,
-                 _number(fields, b"limit"), statement, table_group(statement.decode("utf-8", "replace")),
-                 _number(fields, b"cpu", 0.0), _number(fields, b"need_mb", 0.0), waited_ms)
-
-
-def _text(fields: dict[Any, Any], name: bytes) -> str:
-    value = fields.get(name)
-    if not isinstance(value, memoryview):
-        raise BadRequest(f"{name.decode()} is missing")
-    try:
-        return str(value, "utf-8")
-    except UnicodeDecodeError:
-        raise BadRequest(f"{name.decode()} is not UTF-8") from None
-
-
-def _number(fields: dict[Any, Any], name: bytes, default: float | None = None) -> float:
-    if default is not None and name not in fields:
-        return default
-    text = _text(fields, name)
-    if not _NUMBER.fullmatch(text):  # float() takes more than engines do: signs, exponents, nan, underscores
-        raise BadRequest(f"{name.decode()} is no number in range")
-    return float(text)
-
-
 class RpcReply:
     """Answers one message."""
 
@@ -130,7 +76,7 @@
         self._came_along = waited_ms > ACCEPT_USUAL_MS and stream.socket.is_readable()
         self.stream, self.coordinator, self.deadlines = stream, coordinator, coordinator.deadlines
         self.largest_statement = largest_statement
-        self.open: dict[int, Live] = {}
+        self.open: dict[int, LiveRequest] = {}
         self.closing = False  # it ends once all that has come is answered, and every answer has left
         self.lingering = False  # this side is shut: what still comes is read and dropped
         self.asked = False  # it has sent a message that could be used
@@ -410,67 +356,3 @@
 
 def _is_id(number: object) -> bool:
     return isinstance(number, int) and not isinstance(number, bool) and 0 <= number < 2**32
-
-
-class RpcFront:
-    """Accepts clients, at most as many as the limit on sockets leaves them."""
-
-    clients_most, largest_statement = 64, LARGEST_STATEMENT  # until the configuration has been applied
-
-    def __init__(self, coordinator: Coordinator, poll_watch: PollWatch | None = None) -> None:
-        self.coordinator, self.poll_watch = coordinator, poll_watch or PollWatch()
-        self.clients: set[RpcClient] = set()
-        self.closing = False
-        self._next_to_go: deque[tuple[int, float, RpcClient]] = deque()  # the first to be shed first
-        self._sorted_ms = 0.0
-
-    def close(self) -> None:
-        """End every connection as ``RpcClient.close`` says, also one that is accepted and not served yet."""
-        self.closing = True
-        for client in self.clients:
-            client.close()
-
-    async def serve(self, stream: trio.SocketStream, waited_ms: float = 0.0) -> None:
-        """Serve one connection; a fault in it, or in making room for it, ends no other.
-
-        ``waited_ms`` says how long at most it was there before it was accepted.
-        """
-        try:
-            if len(self.clients) >= self.clients_most and not self._make_room():
-                self.coordinator.counters.add("client.turned_away")
-                return await trio.aclose_forcefully(stream)
-            await self._serve(RpcClient(
-                stream, self.coordinator, self.largest_statement, self.poll_watch, waited_ms))
-        except Exception:
-            log.exception("client.broke")
-
-    async def _serve(self, client: RpcClient) -> None:
-        self.clients.add(client)
-        client.closing = self.closing
-        self.coordinator.counters.add("client.connections")
-        try:
-            await client.run()
-        finally:
-            self.clients.discard(client)
-
-    def _make_room(self) -> bool:
-        """Shed one connection with nothing open on it.
-
-        Who connects and says nothing goes first, then who has been silent longest since asking: clients that
-        ask once and hold their connection must not keep others out. A new connection has some time to ask.
-        """
-        now = self.coordinator.deadlines.clock()
-        if not self._next_to_go or now > self._sorted_ms + SORT_MS:
-            young_ms = now - GREET_MS
-            idle = [(1 if client.asked else 2 if client.since_ms > young_ms else 0, client.since_ms, client)
-                    for client in self.clients if client.idle]
-            self._next_to_go, self._sorted_ms = deque(sorted(idle, key=lambda each: each[:2])), now
-        while self._next_to_go:
-            _, since_ms, client = self._next_to_go.popleft()
-            if client in self.clients and client.idle and client.since_ms == since_ms and (
-                    client.lingering or not client.unread):
-                self.coordinator.counters.add("client.shed")
-                self.clients.discard(client)
-                client.shed()
-                return True
-        return False
--- a/fordstair/net/door.py
+++ b/fordstair/net/console_server.py
@@ -1,4 +1,4 @@
-"""The console's door: a Unix socket that only the program's own user may open.
+"""Serves consoles on a Unix socket that only the program's own user may open.
 
 A line of JSON goes in, a line comes back; after ``follow`` the line that comes back is the first of many
 (see ``fordstair/feed``), and each is answered by a line feed. A console that stops costs one frame, and is
@@ -75,7 +75,7 @@
             await self._more.wait()
 
 
-class Door:
+class ConsoleServer:
     """Answers commands, judges adjustments, and feeds those that follow."""
 
     def __init__(self, name: str, coordinator: Coordinator, drain: Callable[[], None],
--- a/fordstair/net/odata_engine.py
+++ b/fordstair/net/engines/odata.py
@@ -9,9 +9,9 @@
 
 from cairnhoist.interface import Status
 from fordstair.core.ports import Call, Errand, News
-from fordstair.net.engine_call import HttpCall, HttpTransport
-from fordstair.net.http_client import Answer, Broken
-from fordstair.net.rest_engine import parse_report
+from fordstair.net.engines.call import HttpCall, HttpTransport
+from fordstair.net.engines.http_client import Answer, Broken
+from fordstair.net.engines.rest import parse_report
 
 ROOT = "/odata/"
 ACTION = ROOT + "RunStatement"
--- a/fordstair/net/pool.py
+++ b/fordstair/net/engines/pool.py
@@ -12,7 +12,7 @@
 
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
-from fordstair.net.http_client import Connection
+from fordstair.net.engines.http_client import Connection
 from fordstair.net.system_errors import Backoff, Scope, refused, scope_of
 
 IDLE_MARGIN_MS = 1_000.0  # closed here before the engine closes it: a POST must not cross such a close
--- a/fordstair/net/rest_engine.py
+++ b/fordstair/net/engines/rest.py
@@ -6,8 +6,8 @@
 
 from cairnhoist.interface import NoteKind, Status
 from fordstair.core.ports import Call, Errand, News
-from fordstair.net.engine_call import DROP_MS, HttpCall, HttpTransport
-from fordstair.net.http_client import Answer, Broken
+from fordstair.net.engines.call import DROP_MS, HttpCall, HttpTransport
+from fordstair.net.engines.http_client import Answer, Broken
 
 PAGES_MOST = 1_000
 _NOTES = {"p": NoteKind.PROGRESS, "s": NoteKind.SPILL, "w": NoteKind.WAIT}
--- a/fordstair/program.py
+++ b/fordstair/program.py
@@ -20,21 +20,22 @@
 from fordstair.core.ports import Engine, Transport
 from fordstair.core.start_times import StartTimes
 from fordstair.held_signals import deliver
+from fordstair.net.clients.listener import ClientListener, Serve, open_listeners
+from fordstair.net.clients.poll_watch import PollWatch
+from fordstair.net.clients.rpc_front import LARGEST_STATEMENT, RpcFront
 from fordstair.net.command_channel import CommandChannel
-from fordstair.net.lateness import PollWatch
-from fordstair.net.listener import ClientListener, Serve, open_listeners
-from fordstair.net.msgpack_rpc import LARGEST_STATEMENT, RpcFront
-from fordstair.net.pool import Pool
-from fordstair.net.rest_engine import RestTransport
+from fordstair.net.engines.pool import Pool
+from fordstair.net.engines.rest import RestTransport
 
 if TYPE_CHECKING:  # what only an operator's file turns on is not loaded on the platform
     from fordstair.budgets.transport import FleetBudgets
     from fordstair.budgets.whole import Part
+    from fordstair.core.admission_queue import AdmissionQueue
     from fordstair.membership.transport import Membership
-    from fordstair.net.door import Door
+    from fordstair.net.clients.odata_front import ODataFront
+    from fordstair.net.clients.odata_model import Operator
+    from fordstair.net.console_server import ConsoleServer
     from fordstair.net.identity import Identity
-    from fordstair.net.odata_front import ODataFront
-    from fordstair.net.odata_model import Operator
     from fordstair.replication.service import Service
 
 log = Events("fordstair")
@@ -64,10 +65,11 @@
         self.listeners: list[trio.SocketListener] = []
         self.identity: Identity | None = None
         self.odata: ODataFront | None = None
-        self.door: Door | None = None
+        self.console_server: ConsoleServer | None = None
         self.membership: Membership | None = None
         self.ledger: Service | None = None
         self.budgets: FleetBudgets | None = None
+        self.admission_queue: AdmissionQueue | None = None
         if operator is not None and operator.identity:
             from fordstair.net.identity import Identity, read_files
 
@@ -77,35 +79,36 @@
         transport = (self.pool, self.deadlines, config.settings.report_fields)
         transports: dict[str, Transport] = {"rest": RestTransport(*transport)}
         if operator is not None:
-            from fordstair.net.odata_engine import ODataTransport
+            from fordstair.net.engines.odata import ODataTransport
 
             transports["odata"] = ODataTransport(*transport)
         self.coordinator = Coordinator(
             config.settings, config.seed, transports, self.deadlines, self.counters)
         self.pool.unreached = self.coordinator.unreached
         if config.budgets is not None:
-            from fordstair.core.turns import Turns
+            from fordstair.core.admission_queue import AdmissionQueue
             from fordstair.scheduling.scheduler import Scheduler
 
             told = config.budgets
-            self.coordinator.turns = Turns(self.coordinator, Scheduler(
-                dict(told.shares), 1.0, waiting_most=told.waiting_most, burst_ms=told.burst_ms,
-                debt_ms=told.debt_ms), told.threads_a_core)
+            scheduler = Scheduler(dict(told.shares), 1.0, waiting_most=told.waiting_most,
+                                  burst_ms=told.burst_ms, debt_ms=told.debt_ms)
+            self.admission_queue = AdmissionQueue(self.coordinator, scheduler, told.threads_a_core)
+            self.coordinator.admission_queue = self.admission_queue
         if operator is not None and operator.avoid_silent_halls:
-            from fordstair.core.reach import Reach
+            from fordstair.core.zone_watch import ZoneWatch
 
-            self.coordinator.reach = Reach(self.coordinator)
+            self.coordinator.zone_watch = ZoneWatch(self.coordinator)
         if operator is not None and operator.shares is not None:
             self.share_budgets(operator.shares)
         self.poll_watch = PollWatch()
         self.rpc = RpcFront(self.coordinator, self.poll_watch)
         if operator is not None and operator.listen is not None:
-            from fordstair.net.odata_front import ODataFront
+            from fordstair.net.clients.odata_front import ODataFront
 
             team_of = self.identity.team_of if self.identity else lambda _: None
             self.odata = ODataFront(self.coordinator, operator, team_of)
         if operator is not None and operator.ledger is not None and self.odata is not None:
-            from fordstair.net.repeats import SharedRepeats
+            from fordstair.net.clients.repeatable_requests import SharedRepeats
             from fordstair.replication.service import Service
 
             named = replace(operator.ledger, member=operator.ledger.member or config.name)
@@ -119,10 +122,11 @@
             membership = self.membership = Membership(fleet, operator.fleet_listen, config.seed)
             self.counters.include("fleet", lambda: membership.counts)
         if operator is not None and operator.console:
-            from fordstair.net.door import Door
+            from fordstair.net.console_server import ConsoleServer
 
-            self.door = Door(config.name, self.coordinator, self.stop.set, self.wall_clock, operator.watchers,
-                             self.membership, self.ledger, self.budgets)
+            self.console_server = ConsoleServer(
+                config.name, self.coordinator, self.stop.set, self.wall_clock, operator.watchers,
+                self.membership, self.ledger, self.budgets)
         self.bound()
         self.command_channel = CommandChannel(
             config.channel, config.cursor, self.announced, self.deadlines, self.counters)
@@ -133,17 +137,17 @@
         from fordstair.budgets.node import ASKS_A_TERM
         from fordstair.budgets.transport import FleetBudgets
 
-        if (turns := self.coordinator.turns) is None:
+        if (queue := self.admission_queue) is None:
             raise ConfigError("fleet.budgets: needs [budgets], in a file that tells of the whole site")
         named = replace(part, member=part.member or self.config.name)
         budgets = self.budgets = FleetBudgets(named, self.config.seed)
         settings = self.config.settings
-        caps = turns.caps = Caps(part.plan.wholes, [each.name for each in settings.tenants] or [""],
+        caps = queue.caps = Caps(part.plan.wholes, [each.name for each in settings.tenants] or [""],
                                  [each.name for each in settings.classes], budgets.shares,
                                  part.plan.term_ms / ASKS_A_TERM)
         budgets.node.wants = lambda: caps.wants(self.deadlines.clock())
         budgets.node.needs, budgets.node.uses = caps.needs, caps.uses
-        budgets.on_share = turns.release
+        budgets.on_share = queue.release
         self.counters.include("shares", lambda: budgets.counts)
 
     def tls(self, address: str) -> ssl.SSLContext | None:
@@ -241,8 +245,8 @@
                 nursery.start_soon(self.share_costs, self.ledger)
             if self.budgets is not None:
                 await self.join(nursery, self.budgets.run, "fleet.budgets")
-            if self.operator is not None and self.door is not None:
-                await nursery.start(self.door.run, self.operator.console)
+            if self.operator is not None and self.console_server is not None:
+                await nursery.start(self.console_server.run, self.operator.console)
             accepting = [trio.CancelScope()]
             nursery.start_soon(self.accept, "listens", self.config.listen, self.rpc.serve, accepting[0])
             if self.operator is not None and self.odata is not None and self.operator.listen is not None:
@@ -313,8 +317,9 @@
         for event in config.known:
             self.command_channel.take(*event)
         self.command_channel.move(config.channel)
-        if self.coordinator.turns is not None and config.budgets is not None:
-            self.coordinator.turns.scheduler.set_shares(dict(config.budgets.shares), self.deadlines.clock())
+        if self.admission_queue is not None and config.budgets is not None:
+            shares = dict(config.budgets.shares)
+            self.admission_queue.scheduler.set_shares(shares, self.deadlines.clock())
         self.counters.add("config.reloads")
         log.info("configuration.reloaded", channel=config.channel or "none")
 
--- a/fordstair/settings/site.py
+++ b/fordstair/settings/site.py
@@ -17,7 +17,7 @@
 )
 from fordstair.config import Budgets, Config, ConfigError, address
 from fordstair.core.ports import Engine
-from fordstair.net.odata_model import EntitySet, Operator
+from fordstair.net.clients.odata_model import EntitySet, Operator
 from fordstair.settings.faults import Fault, Faulty, read
 from fordstair.settings.schema import ClassTable, EngineTable, File, SetTable, member_of
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,7 +16,7 @@
 from trio.testing import wait_all_tasks_blocked
 
 from fordstair.core.clock import monotonic_now
-from fordstair.net.pool import ConnectFailed, Pool, PooledConnection
+from fordstair.net.engines.pool import ConnectFailed, Pool, PooledConnection
 from fordstair.program import Program as Coordination
 from tests.standins import (
     SETTINGS,
@@ -451,7 +451,7 @@
 
 def test_an_engine_to_which_no_connection_comes_up_for_seconds_counts_as_cold_after_that(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("fordstair.net.pool.LATE_MS", 100.0)
+    monkeypatch.setattr("fordstair.net.engines.pool.LATE_MS", 100.0)
 
     async def scene() -> None:
         async with engine() as one, inside(config(one.address)) as node:
--- a/tests/test_failings.py
+++ b/tests/test_failings.py
@@ -18,9 +18,9 @@
 from cairnhoist.interface import EngineEntry
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import Engine, Errand, Query
-from fordstair.net.http_client import Connection
-from fordstair.net.pool import ConnectFailed
-from fordstair.net.rest_engine import RestTransport
+from fordstair.net.engines.http_client import Connection
+from fordstair.net.engines.pool import ConnectFailed
+from fordstair.net.engines.rest import RestTransport
 from tests.standins import ROOT, Answered, RestEngine, at_once, config, engine, never, program
 from tests.test_platform import ROWS, play
 
--- a/tests/test_odata.py
+++ b/tests/test_odata.py
@@ -15,8 +15,8 @@
 import ujson
 
 from fordstair.core.deadlines import Deadlines
-from fordstair.net.odata_front import Result, Results
-from fordstair.net.odata_model import EntitySet, ODataError
+from fordstair.net.clients.odata_front import Result, Results
+from fordstair.net.clients.odata_model import EntitySet, ODataError
 from tests.standins import (
     SETTINGS,
     Answered,
@@ -185,7 +185,7 @@
     for token, team in ((names[0] + "-2", "t"), (names[-1] + "-2", "other"), (names[-1] + "-10", "t")):
         with pytest.raises(ODataError):
             kept.page(token, team)
-    monkeypatch.setattr("fordstair.net.odata_front.RESULTS_BYTES", 1000)
+    monkeypatch.setattr("fordstair.net.clients.odata_front.RESULTS_BYTES", 1000)
     kept.keep(Result("t", [b"x"] * 10, one, ("a",), 2))
     assert len(kept) == 1
 
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -20,8 +20,9 @@
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import Call, Engine, Errand, News, Query
-from fordstair.net.msgpack_rpc import RpcClient, RpcFront
-from fordstair.net.odata_front import Reply
+from fordstair.net.clients.odata_front import Reply
+from fordstair.net.clients.rpc_connection import RpcClient
+from fordstair.net.clients.rpc_front import RpcFront
 from fordstair.program import Program as Coordination
 from tests.standins import (
     SETTINGS,
@@ -393,7 +394,7 @@
             self.closed += 1
 
     async def scene() -> None:
-        monkeypatch.setattr("fordstair.net.msgpack_rpc.WRITE_MS", 50.0)
+        monkeypatch.setattr("fordstair.net.clients.rpc_connection.WRITE_MS", 50.0)
         coordinator = Coordinator(parse(config()).settings, 1, {}, Deadlines(), Counters())
         stream, front = Full(), RpcFront(coordinator)
         async with trio.open_nursery() as nursery:
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -14,18 +14,19 @@
 
 from benchmarks.budgets import SHARES, play, told
 from cairnhoist.interface import Effect
-from fordstair.core.coordinator import Coordinator, Live
+from fordstair.core.admission_queue import AdmissionQueue
+from fordstair.core.coordinator import Coordinator
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
+from fordstair.core.live_request import LiveRequest
 from fordstair.core.ports import Query
 from fordstair.core.send_guard import SendGuard
-from fordstair.core.turns import Turns
 from fordstair.lab.appliance import appliance
 from fordstair.lab.billing_close import Shape, generate, read, write
 from fordstair.lab.engine import StandIn
 from fordstair.lab.machine import Machine
 from fordstair.lab.traffic import Kind, Traffic
-from fordstair.net.odata_front import Reply
+from fordstair.net.clients.odata_front import Reply
 from fordstair.scheduling.budgets import Budgets
 from fordstair.scheduling.preemption import CHANGES_PER_S, HOLD_MS, Preemption, Runs
 from fordstair.scheduling.scheduler import AGE_EVERY, Refused, Room, Scheduler, Told, last_start
@@ -310,14 +311,14 @@
 def test_what_is_withdrawn_is_in_no_queue_when_the_next_release_comes() -> None:
     """It stood there until its own task ran: a release by another request's end broke on it."""
     one = Coordinator(told(), 7, {}, Deadlines(lambda: 1e6), Counters())
-    turns = Turns(one, Scheduler(dict(enumerate(SHARES)), 8.0), 1.0)
+    queue = AdmissionQueue(one, Scheduler(dict(enumerate(SHARES)), 8.0), 1.0)
     replies = [Reply(), Reply()]
     for number, reply in enumerate(replies):
         query = Query(f"{number:016x}", "lookup", 0, 0, 6_000.0, b"", cost_ms=10.0)
-        live = one.live[number] = turns._lives[number] = Live(
+        live = one.live[number] = queue._lives[number] = LiveRequest(
             number, query, reply, 1e6, 1e6 + 6_000.0, SendGuard(Effect.SAFE, 0.0))
-        assert turns.scheduler.arrive(Told(number, 0, 0, 1, 10.0, math.inf), 1e6).refused is None
+        assert queue.scheduler.arrive(Told(number, 0, 0, 1, 10.0, math.inf), 1e6).refused is None
         assert live.order is None
-    assert turns.withdraw(one.live[0]) and not turns.withdraw(one.live[0])
-    turns.release()
-    assert replies[0].later_ms is not None and replies[1].later_ms is None and len(turns) == 1
+    assert queue.withdraw(one.live[0]) and not queue.withdraw(one.live[0])
+    queue.release()
+    assert replies[0].later_ms is not None and replies[1].later_ms is None and len(queue) == 1
--- a/tests/test_halls.py
+++ b/tests/test_zones.py
@@ -16,20 +16,20 @@
 from fordstair.core.counters import Counters
 from fordstair.core.deadlines import Deadlines
 from fordstair.core.ports import Call, Engine, Errand
-from fordstair.core.reach import Reach
+from fordstair.core.zone_watch import ZoneWatch
 from fordstair.feed.observe import engine_state
 from fordstair.lab.appliance import appliance
 from fordstair.lab.engine import StandIn
 from fordstair.lab.machine import Machine
 from fordstair.lab.traffic import Kind, Traffic
-from fordstair.routing.halls import ELSEWHERE_MS, HOLD_MOST_MS, HOLD_MS, QUIET_MS, Halls
+from fordstair.routing.zones import ELSEWHERE_MS, HOLD_MOST_MS, HOLD_MS, QUIET_MS, ZoneFailures
 from tests.test_platform import play as bounded
 
 ENGINES = {f"{hall}{n}": number for number, hall in enumerate("abc") for n in range(4)}
 
 
-def halls(engines: dict[str, int] = ENGINES) -> Halls:
-    told = Halls()
+def halls(engines: dict[str, int] = ENGINES) -> ZoneFailures:
+    told = ZoneFailures()
     told.listed(0.0, engines)
     return told
 
@@ -66,7 +66,7 @@
     told.heard(now, "c0")
     assert not any(told.missed(now + ELSEWHERE_MS + 1.0, f"c{n}") for n in range(4))  # there is no other way
     while len(holds) < 4:
-        until = told.halls[0].avoided_until
+        until = told.zones[0].avoided_until
         holds.append(until - now)
         assert told.tried_again(until - 1.0) == [] and 0 in told.tried_again(until)
         now = until
@@ -95,7 +95,7 @@
                 assert not known.avoids(engine)
         if engines:
             assert not all(map(known.avoids, engines))
-        assert set(known.halls) == set(engines.values())
+        assert set(known.zones) == set(engines.values())
 
 
 class NoWire:
@@ -111,7 +111,7 @@
 def test_a_list_that_comes_anew_gives_no_avoided_hall_back() -> None:
     clock = [1_000.0]
     coordinator = Coordinator(told_settings(), 1, {"rest": NoWire()}, Deadlines(lambda: clock[0]), Counters())
-    reach = coordinator.reach = Reach(coordinator)
+    watch = coordinator.zone_watch = ZoneWatch(coordinator)
 
     def listed(**starts: float) -> None:
         coordinator.members(ListKind.FULL, [
@@ -123,20 +123,20 @@
 
     listed()
     clock[0] += 1_000.0
-    reach.heard(1, "b0")
+    watch.heard(1, "b0")
     for engine in ("a0", "a1", "a2"):
-        reach.missed(engine)
+        watch.missed(engine)
     assert states() == {EngineState.DRAINING} and not coordinator.engines["a3"].ready
     listed()
     assert states() == {EngineState.DRAINING} and not coordinator.engines["a3"].ready
     assert engine_state(coordinator.engines["a3"], 1.0, 1.0, 0.0, 0.0) == "avoided"
-    reach.heard(1, "a3")
+    watch.heard(1, "a3")
     assert states() == {EngineState.READY} and coordinator.engines["a0"].ready
     assert coordinator.counters["halls.avoided"] == coordinator.counters["halls.tried"] == 1
     clock[0] += 1_000.0
-    reach.heard(1, "b0")
+    watch.heard(1, "b0")
     for engine in ("a0", "a1", "a2"):
-        reach.missed(engine)
+        watch.missed(engine)
     assert states() == {EngineState.DRAINING}
     listed(a2=clock[0])  # a new process: its hall is there
     assert states() == {EngineState.READY}
