Fix SIGTERM during a pause: count the time to SIGKILL from when it may have been sent

Cause: GracefulShutdown.drain took the moment in which a task was told of the signal for the moment in which it was sent, and it flushed answers until a point in time that a pause may pass. Change: a signal is dated in its handler, not before the event loop was last seen running (PollWatch); the time to SIGKILL counts from there, the time for new clients from when it is seen. The flush is a span. Why it works: a running program handles a signal at once, so it came after the loop was last seen running.

--- a/fordstair/net/clients/poll_watch.py
+++ b/fordstair/net/clients/poll_watch.py
@@ -49,6 +49,18 @@
         ordinary_wait_ms = 0.0 if self._stalled else self._wait_ended_ms - self._wait_began_ms
         return max(0.0, monotonic_now() - since_ms - ordinary_wait_ms)
 
+    def earliest_arrival_ms(self) -> float:
+        """Return the earliest moment at which a signal whose handler runs now may have been sent.
+
+        A running program handles a signal at once, also in its wait for bytes. So a signal came after the
+        loop was last seen running; that was just now, unless the program has been paused since.
+        """
+        now_ms = monotonic_now()
+        if not self._running:
+            return now_ms
+        seen_running_ms = max(self._wait_began_ms, self._wait_ended_ms)
+        return seen_running_ms if now_ms - seen_running_ms > STALLED_POLL_MS else now_ms
+
     async def run(self) -> None:
         """Watch the loop, and keep it ticking, until cancelled."""
         self._reset()
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -36,6 +36,8 @@
     build_odata_front,
 )
 from fordstair.program.resource_limits import divide_resources
+from fordstair.program.signal_arrivals import noting_arrivals
+from fordstair.program.stop_request import StopRequest
 from fordstair.runtime.clock import AnchoredClock, WallClock
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
@@ -69,7 +71,7 @@
         self.load = load
         self.deadlines = Deadlines()
         self.counters = Counters()
-        self.stop = trio.Event()
+        self.stop = StopRequest()
         self.anchor = AnchoredClock()
         self.wall_clock = WallClock()
         self.identity = build_identity(operator, self.deadlines, self.counters)
@@ -91,7 +93,7 @@
             operator,
             config,
             self.coordinator,
-            self.stop.set,
+            self._stop_from_console,
             self.wall_clock,
             self.membership,
             self.ledger,
@@ -128,7 +130,7 @@
             if self.identity is not None:
                 self.identity.watch()
             await self.stop.wait()
-            await self.shutdown.drain(accepting)
+            await self.shutdown.drain(accepting, self.stop.earliest_ms)
             if self.membership is not None:
                 await self.membership.leave()
             if self.budgets is not None:
@@ -256,16 +258,25 @@
     async def _handle_signals(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """SIGHUP reloads the configuration, SIGUSR1 logs the counters, SIGTERM and SIGINT drain."""
         handled = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
-        with trio.open_signal_receiver(*handled) as signals:
+        earliest_arrival_ms = self.poll_watch.earliest_arrival_ms
+        with (
+            trio.open_signal_receiver(*handled) as signals,
+            noting_arrivals(handled, earliest_arrival_ms) as arrivals,
+        ):
             unblock()
             task_status.started()
             async for number in signals:
+                arrival_ms = arrivals.take(number)
                 if number == signal.SIGHUP:
                     self.reload()
                 elif number == signal.SIGUSR1:
                     log.info("counters", **self.counters.snapshot())
                 else:
-                    self.stop.set()
+                    self.stop.make(arrival_ms)
+
+    def _stop_from_console(self) -> None:
+        """Drain, as a console asks; its command may have lain unread while the program was paused."""
+        self.stop.make(self.deadlines.clock() - self.poll_watch.max_delay_ms())
 
 
 async def _start_listening(nursery: trio.Nursery, run: Callable[..., Awaitable[None]], field: str) -> None:
--- a/fordstair/program/graceful_shutdown.py
+++ b/fordstair/program/graceful_shutdown.py
@@ -46,26 +46,31 @@
         self._rpc = rpc
         self._odata = odata
 
-    async def drain(self, accepting: Sequence[trio.CancelScope]) -> None:
-        """Return once all is answered, or time is up; cancel ``accepting`` when no new client may come."""
+    async def drain(self, accepting: Sequence[trio.CancelScope], requested_ms: float | None = None) -> None:
+        """Return once all is answered, or time is up; cancel ``accepting`` when no new client may come.
+
+        ``requested_ms`` is the earliest moment at which the drain may have been asked for; None: just now.
+        The time to SIGKILL counts from there, and the time for new clients from the latest, which is now.
+        """
         self._coordinator.draining = True
-        kill_ms = self._kill_ms()
-        await self._deadlines.sleep(ACCEPT_MS)
+        now_ms = self._deadlines.clock()
+        answer_ms = self._kill_ms(now_ms if requested_ms is None else requested_ms) - ANSWER_BEFORE_KILL_MS
+        await self._deadlines.sleep(min(ACCEPT_MS, answer_ms - now_ms))
         await self._accept_backlog()
         for scope in accepting:
             scope.cancel()
-        answer_ms = kill_ms - ANSWER_BEFORE_KILL_MS
         while self._deadlines.clock() < answer_ms and self._coordinator.open_count:
             await self._deadlines.sleep(OPEN_POLL_MS)
         self._coordinator.withdraw_all()
         self._rpc.close()
-        while self._deadlines.clock() < answer_ms + FLUSH_MS and not self._all_closed():
+        flush_until_ms = self._deadlines.clock() + FLUSH_MS  # a pause may have passed over answer_ms
+        while self._deadlines.clock() < flush_until_ms and not self._all_closed():
             await self._deadlines.sleep(FLUSH_POLL_MS)
 
-    def _kill_ms(self) -> float:
-        """Return when SIGKILL comes, for a drain that begins now."""
+    def _kill_ms(self, requested_ms: float) -> float:
+        """Return when SIGKILL comes, for a drain that was asked for at that time."""
         longest_ms = max(spec.client_timeout_ms for spec in self._coordinator.settings.classes)
-        return self._deadlines.clock() + min(LONGEST_DEADLINE_MS, longest_ms) + KILL_GRACE_MS
+        return requested_ms + min(LONGEST_DEADLINE_MS, longest_ms) + KILL_GRACE_MS
 
     async def _accept_backlog(self) -> None:
         """Wait until who has connected by now is accepted.
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import socket
 import time
 
@@ -14,7 +16,9 @@
 from fordstair.core.ports import Engine, Query
 from fordstair.decisions.engine_list import EngineEntry, ListUpdateKind
 from fordstair.net.clients.odata_statements import PendingReply
+from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.program import Program as Coordination
+from fordstair.program.signal_arrivals import noting_arrivals
 from fordstair.runtime.clock import monotonic_now
 from tests.scenes import ROWS, Endless, ends, hold_reads, play, until
 from tests.standins import SETTINGS, Client, config, connect, engine, inside, never, program
@@ -67,6 +71,88 @@
     trio.run(scene, clock=MockClock(autojump_threshold=0.0))
 
 
+def test_a_drain_that_begins_past_its_time_still_lets_answers_leave() -> None:
+    # Guards against a flush whose time was over before it began, after a pause: answers that never left.
+    async def scene() -> None:
+        told = config()
+        one, clock = Coordination(parse(told), None, lambda: parse(told)), trio.current_time
+        one.deadlines.clock = lambda: clock() * 1_000.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one.deadlines.run)
+            await nursery.start(one.coordinator.run)
+            reply = PendingReply()
+            one.coordinator.update_engines(ListUpdateKind.FULL, [Engine(EngineEntry("s-1"), "10.0.0.1:1")])
+            one.transports["rest"] = Endless()
+            one.coordinator.submit(Query("0" * 16, "settlement", 1, 0, 25_000.0, b""), reply)
+            await wait_all_tasks_blocked()
+            await one.shutdown.drain([], one.deadlines.clock() - 3_600.0)
+            assert reply.retry_after_ms is not None
+            assert not one.coordinator.live  # its task has ended, and what it answered could be written
+            nursery.cancel_scope.cancel()
+
+    trio.run(scene, clock=MockClock(autojump_threshold=0.0))
+
+
+KILL_AFTER_S = 3.7  # SIGKILL at its earliest, from the moment in which SIGTERM is sent
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.3, 1.2, 2.6])
+@pytest.mark.parametrize(
+    "signals",
+    [(signal.SIGTERM,), (signal.SIGINT,), (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGTERM)],
+    ids=["SIGTERM", "SIGINT", "series"],
+)
+def test_a_load_in_flight_is_answered_before_sigkill_though_sigterm_came_in_a_pause(
+    signals: tuple[signal.Signals, ...], pause_s: float
+) -> None:
+    # Guards against a drain that counts its time from when the signal was seen, not from when it was sent.
+    async def scene() -> None:
+        async with engine(never) as one, program(config(one.address)) as node:
+            client = await node.client()
+            number = await client.ask("meter-load", limit="20000")
+            await until(lambda: one.posts)
+            os.kill(node.process.pid, signal.SIGSTOP)
+            start = time.monotonic()
+            for each in signals:
+                os.kill(node.process.pid, each)
+            await trio.sleep(pause_s)
+            os.kill(node.process.pid, signal.SIGCONT)
+            with trio.fail_after(KILL_AFTER_S - (time.monotonic() - start)):
+                error, _ = await client.answer(number)
+            assert error[0] == "Internal"
+
+    play(scene)
+
+
+def test_a_signal_that_came_in_a_pause_is_dated_before_it_and_one_to_a_running_program_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against dating a signal by the loop's turn that reports it, after which the pause is forgotten.
+    now = [1_000.0]
+    monkeypatch.setattr("fordstair.net.clients.poll_watch.monotonic_now", lambda: now[0])
+
+    async def scene() -> None:
+        watch = PollWatch()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            await wait_all_tasks_blocked()
+            with noting_arrivals([signal.SIGUSR2], watch.earliest_arrival_ms) as arrivals:
+                signal.raise_signal(signal.SIGUSR2)
+                assert arrivals.take(signal.SIGUSR2) == now[0]
+                now[0] += 1_200.0  # the process is stopped, and the signal comes before it goes on
+                signal.raise_signal(signal.SIGUSR2)
+                for _ in range(3):
+                    await trio.lowlevel.checkpoint()
+                assert arrivals.take(signal.SIGUSR2) == now[0] - 1_200.0
+            nursery.cancel_scope.cancel()
+
+    before = signal.signal(signal.SIGUSR2, lambda *_: None)
+    try:
+        trio.run(scene)
+    finally:
+        signal.signal(signal.SIGUSR2, before)
+
+
 BODY = b"SELECT a FROM sales_17.orders"
 
 
@@ -110,7 +196,7 @@
         async with engine() as one, inside(config(one.address)) as node:
             client = await connect(node)
             assert await client.answer(await client.ask()) == (None, ROWS)
-            node.stop.set()
+            node.stop.make(node.deadlines.clock())
             assert await ends(client, 5.0) == b""  # a whole end, no reset
             await client.ask()
             await client.stream.send_eof()
@@ -128,7 +214,7 @@
             ahead = [0.0]
             node.deadlines.clock = lambda: monotonic_now() + ahead[0]
             where = node.listeners[0].socket.getsockname()
-            node.stop.set()
+            node.stop.make(node.deadlines.clock())
             await until(lambda: node.coordinator.draining)
             socks, fields = [], {"limit": "3000", "team": "karri-energy"}
             for number in range(1, 41):  # without a pause: nothing else runs meanwhile
