Fix the lost idempotency key: pass it on byte for byte in every attempt

Cause: the platform's front never read the field "unique", and neither engine protocol had a place for it. Change: Query.idempotency_key, read where the class has keys, sent as X-Dedupe, in OData's action as Dedupe. A request of such a class without a usable key is Invalid: a repeat of it would run twice. OData clients' statements get a key each. Why it works: engines discard duplicates by the key, which is now the client's own in each attempt.

--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -25,6 +25,7 @@
     cost_ms: float = 0.0  # estimated thread-milliseconds; 0: no estimate
     memory_mb: float = 0.0  # estimated; 0: no estimate
     read_delay_ms: float = 0.0  # part of the timeout that passed before the request was read here
+    idempotency_key: str = ""  # of a class with keys; the same in each retry of the client
 
 
 @dataclass(slots=True)
--- a/fordstair/net/clients/odata_statements.py
+++ b/fordstair/net/clients/odata_statements.py
@@ -14,11 +14,13 @@
 from fordstair.core.live_request import LiveRequest
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
+from fordstair.decisions.settings import Idempotency, RequestClass
 from fordstair.net.clients.odata_errors import ClientDisconnectedError, ODataError
 from fordstair.net.clients.odata_model import EntitySet
 
 AT_DEADLINE_MS = 50.0  # an answer that close to the deadline came because of it
 _TRANSACTION_ID_BYTES = 8
+_IDEMPOTENCY_KEY_BYTES = 16
 
 
 @dataclass(slots=True)
@@ -113,16 +115,18 @@
     def _query(self, statement: Statement) -> Query:
         coordinator = self.coordinator
         class_index = coordinator.classes[statement.class_name]
+        spec = coordinator.settings.classes[class_index]
         return Query(
             secrets.token_hex(_TRANSACTION_ID_BYTES),
             statement.class_name,
             class_index,
             coordinator.tenants[statement.team],
-            self._timeout_ms(statement, coordinator.settings.classes[class_index].client_timeout_ms),
+            self._timeout_ms(statement, spec.client_timeout_ms),
             statement.text.encode(),
             table_group(statement.text),
             statement.entity_set.cost_ms,
             statement.entity_set.memory_mb,
+            idempotency_key=_new_idempotency_key(spec),
         )
 
     def _timeout_ms(self, statement: Statement, class_timeout_ms: float) -> float:
@@ -133,6 +137,14 @@
         return max(0.0, min(timeout_ms, self._batch_deadline_ms - self.coordinator.deadlines.clock()))
 
 
+def _new_idempotency_key(spec: RequestClass) -> str:
+    """Return a key under which engines discard the coordinator's own retries; empty for other classes.
+
+    A client's repeatability id is unique within its team alone, and is heeded before a statement is run.
+    """
+    return secrets.token_hex(_IDEMPOTENCY_KEY_BYTES) if spec.idempotency is Idempotency.WITH_KEY else ""
+
+
 def _failure(reply: PendingReply, *, at_deadline: bool) -> ODataError:
     """Return the error for a request without rows: only a rejection proves that nothing ran."""
     if reply.retry_after_ms is None:
--- a/fordstair/net/clients/rpc_query.py
+++ b/fordstair/net/clients/rpc_query.py
@@ -8,17 +8,21 @@
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.ports import Query
 from fordstair.core.statements import table_group
+from fordstair.decisions.settings import Idempotency
 
 _TRANSACTION_ID = b"txn"
 _TEAM = b"team"
 _TIME_LIMIT_MS = b"limit"
 _COST_MS = b"cpu"
 _MEMORY_MB = b"need_mb"
+_IDEMPOTENCY_KEY = b"unique"
 _PARAMETERS = 2  # a map of fields, and the statement
 
 # float() takes more than engines do: signs, exponents, nan, underscores.
 _NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?", re.ASCII)
 _TRANSACTION_ID_FORM = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
+# What an HTTP header carries without a change: it goes on to the engine byte for byte.
+_IDEMPOTENCY_KEY_FORM = re.compile(r"[!-~](?:[ -~]{0,254}[!-~])?", re.ASCII)
 
 
 class InvalidRequestError(Exception):
@@ -50,6 +54,7 @@
         _number(fields, _COST_MS, 0.0),
         _number(fields, _MEMORY_MB, 0.0),
         read_delay_ms,
+        _read_idempotency_key(fields, method, coordinator),
     )
 
 
@@ -62,6 +67,17 @@
     return transaction_id
 
 
+def _read_idempotency_key(fields: dict[Any, Any], class_name: str, coordinator: Coordinator) -> str:
+    """Return the key of a class with keys, whose engines would run a repeat without; else an empty one."""
+    spec = coordinator.settings.classes[coordinator.classes[class_name]]
+    if spec.idempotency is not Idempotency.WITH_KEY:
+        return ""
+    key = _text(fields, _IDEMPOTENCY_KEY)
+    if not _IDEMPOTENCY_KEY_FORM.fullmatch(key):
+        raise InvalidRequestError(f"{_IDEMPOTENCY_KEY.decode()} must be 1 to 256 printable characters")
+    return key
+
+
 def _read_tenant(fields: dict[Any, Any], coordinator: Coordinator) -> int:
     """Return the tenant's index; at a site without teams the field says nothing."""
     team = _text(fields, _TEAM) if coordinator.tenants else ""
--- a/fordstair/net/engines/odata_wire.py
+++ b/fordstair/net/engines/odata_wire.py
@@ -26,6 +26,7 @@
 
 _REQUEST_ID = "Txn"
 _REQUEST_CLASS = "Lane"
+_IDEMPOTENCY_KEY = "Dedupe"
 _TIME_LIMIT_MS = "LimitMs"
 _PRIORITY = "Urgency"
 _STATEMENT = "Statement"
@@ -46,14 +47,16 @@
 
 
 def start_request(query: Query, limit_ms: int, priority: int) -> HttpRequest:
-    """Return the POST of the action; id, class and statement go out as they came."""
-    parameters = {
+    """Return the POST of the action; id, class, key and statement go out as they came."""
+    parameters: dict[str, str | int] = {
         _REQUEST_ID: query.transaction_id,
         _REQUEST_CLASS: query.class_name,
         _TIME_LIMIT_MS: limit_ms,
         _PRIORITY: priority,
         _STATEMENT: query.statement.decode("utf-8", "surrogateescape"),
     }
+    if query.idempotency_key:
+        parameters[_IDEMPOTENCY_KEY] = query.idempotency_key
     headers = [*VERSION_HEADERS, ("Content-Type", "application/json"), ("Prefer", "respond-async,wait=0")]
     return HttpRequest("POST", ACTION_PATH, headers, _encode(parameters))
 
--- a/fordstair/net/engines/rest_wire.py
+++ b/fordstair/net/engines/rest_wire.py
@@ -17,6 +17,7 @@
 
 _REQUEST_ID = "X-Txn"
 _REQUEST_CLASS = "X-Lane"
+_IDEMPOTENCY_KEY = "X-Dedupe"
 _TIME_LIMIT_MS = "X-Limit-Ms"
 _PRIORITY = "X-Urgency"
 _LOAD_REPORT = b"x-gauges"
@@ -41,13 +42,15 @@
 
 
 def start_request(query: Query, limit_ms: int, priority: int) -> HttpRequest:
-    """Return the POST that starts a query; id, class and statement go out as they came."""
+    """Return the POST that starts a query; id, class, key and statement go out as they came."""
     headers = [
         (_REQUEST_ID, query.transaction_id),
         (_REQUEST_CLASS, query.class_name),
         (_TIME_LIMIT_MS, str(limit_ms)),
         (_PRIORITY, str(priority)),
     ]
+    if query.idempotency_key:
+        headers.append((_IDEMPOTENCY_KEY, query.idempotency_key))
     return HttpRequest("POST", QUERIES_PATH, headers, query.statement)
 
 
--- a/tests/test_rpc_requests.py
+++ b/tests/test_rpc_requests.py
@@ -2,10 +2,39 @@
 
 from __future__ import annotations
 
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
 import trio
 
 from tests.scenes import ROWS, ends, play
-from tests.standins import SETTINGS, config, engine, never, program
+from tests.standins import SETTINGS, Answered, RestEngine, at_once, config, engine, never, program
+
+EFFECTS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}  # site file, settings
+SITES = [
+    tomllib.loads((Path(__file__).parent.parent / f"deploy/sites/{name}.toml").read_text())
+    for name in ("quay-freight", "tram-fares")
+]
+CLASSES: list[dict[str, Any]] = [spec for site in SITES for spec in site["class"]]
+
+
+def settings_of(*classes: dict[str, Any]) -> dict[str, Any]:
+    """The settings of a site with these classes of a site file."""
+    categories = [
+        {
+            "name": spec["name"],
+            "effect": EFFECTS[spec["effect"]],
+            "promiseMs": spec["aim_ms"],
+            "giveUpMs": spec["deadline_ms"],
+            "group": spec.get("group", "all"),
+            "memorySpanMs": spec.get("window_ms", 0),
+        }
+        for spec in classes
+    ]
+    extra = {name: value for name, value in SETTINGS["extra"].items() if name not in ("loads", "parallelism")}
+    return SETTINGS | {"categories": categories, "extra": extra}
 
 
 def test_a_query_is_served_with_all_its_pages_and_unchanged_on_its_way() -> None:
@@ -27,6 +56,60 @@
     play(scene)
 
 
+async def full_at_first(
+    one: RestEngine, method: str, path: str, headers: dict[str, str], body: bytes
+) -> Answered | bytes | None:
+    """Say that there is no room, until each query has come twice."""
+    if method == "POST" and len(one.posts) % 2:
+        return 503, {"X-Unrun": "1"}, b""
+    return await at_once(one, method, path, headers, body)
+
+
+@pytest.mark.parametrize("spec", CLASSES, ids=lambda spec: spec["name"])
+def test_each_field_of_a_variants_class_reaches_the_engine_as_its_client_sent_it(
+    spec: dict[str, Any],
+) -> None:
+    # Guards against a field that is dropped or changed on its way, in the first attempt or in a retry.
+    txn = "9B1f03aa5c7e2d41"
+    key = '55CF3773/28d8 d2bd;4c"63=~0a,\\x'
+    statement = b"SELECT '\xc3\xa9\xff\x00' FROM sales_17.orders -- \r\n"
+
+    async def scene() -> None:
+        told = config(settings=settings_of(*CLASSES))
+        async with (
+            engine(full_at_first) as one,
+            program(config(one.address, settings=told["settings"])) as node,
+        ):
+            client = await node.client()
+            number = await client.ask(spec["name"], body=statement, txn=txn, unique=key, limit="1500")
+            assert await client.answer(number) == (None, ROWS)
+            assert len(one.posts) == 2
+            for headers, body in one.posts:
+                assert headers["x-txn"] == txn
+                assert headers["x-lane"] == spec["name"]
+                assert headers.get("x-dedupe") == (key if spec["effect"] == "keyed" else None)
+                assert body == statement
+
+    play(scene)
+
+
+@pytest.mark.parametrize("key", [None, "", " a", "a ", "a\r\nX-Lane: b", "\u00e9", "a" * 257])
+def test_a_class_with_keys_needs_one_that_can_be_passed_on(key: str | None) -> None:
+    # Guards against a load that its engine cannot tell from its own repeat, and against a header injected.
+    spec = next(spec for spec in CLASSES if spec["effect"] == "keyed")
+
+    async def scene() -> None:
+        async with engine() as one, program(config(one.address, settings=settings_of(spec))) as node:
+            client = await node.client()
+            fields = {} if key is None else {"unique": key}
+            error, _ = await client.answer(await client.ask(spec["name"], **fields))
+            assert error[0] == "Invalid"
+            assert "unique" in error[1]["reason"]
+            assert not one.posts
+
+    play(scene)
+
+
 def test_what_cannot_be_used_is_answered_and_harms_nobody_else() -> None:
     async def scene() -> None:
         async with engine() as one, program(config(one.address)) as node:
--- a/tests/wires/test_odata_engines.py
+++ b/tests/wires/test_odata_engines.py
@@ -9,6 +9,8 @@
 import trio
 import ujson
 
+from fordstair.core.ports import Query
+from fordstair.net.engines import odata_wire
 from tests.scenes import play
 from tests.standins import RestEngine
 from tests.test_odata import appliance, runs
@@ -54,3 +56,12 @@
 
 def test_requests_are_the_recorded_bytes() -> None:
     assert messages() == recorded("odata_engines")
+
+
+def test_an_idempotency_key_goes_out_as_it_came_and_only_where_there_is_one() -> None:
+    # Guards against a keyed load that an engine of this protocol cannot tell from its repeat.
+    key = '55CF "/\\;'
+    keyed = Query(TXN, "stamp", 0, 0, 1000.0, b"", idempotency_key=key)
+    assert ujson.loads(odata_wire.start_request(keyed, 900, 1).body)["Dedupe"] == key
+    other = Query(TXN, "lookup", 0, 0, 1000.0, b"")
+    assert "Dedupe" not in ujson.loads(odata_wire.start_request(other, 900, 1).body)
