Fix rejections for a guessed hold time: the first requests that end teach it exactly

Cause: ThreadLimit forecast 500 ms for each thread in use and learned by a fortieth a lookup; the shedding of costly requests took that for pressure. Change: exact mean of the first ends, then exponential as before; before the first end the forecast assumes nothing. Why it works: no rejection rests on a guess any more, and one end is enough to know 20 ms from 500.

--- a/fordstair/budgets/local_limits.py
+++ b/fordstair/budgets/local_limits.py
@@ -20,8 +20,8 @@
 MIN_DEMAND = 0.05  # of a mean that is still reported: threads, or requests a second
 RATE_HEADROOM_FACTOR = 1.2  # of the arrival rate that is asked for
 MIN_WANTED_RATE_UNITS = 2 * UNITS_PER_REQUEST_PER_S  # asked for where anything arrives at all
-INITIAL_HOLD_MS = 500.0  # that a request is taken to hold its threads until that is known
-HOLD_LEARNING_FACTOR = 0.1  # of a new value, in the means of that
+INITIAL_HOLD_MS = 500.0  # asked for on behalf of a request whose class has not been seen to end
+HOLD_LEARNING_FACTOR = 0.1  # of a new value, in the means of how long threads are held
 STAFFING_FACTOR = 1.0  # square-root staffing (Halfin and Whitt 1981): so many roots of the mean, for bursts
 DEFAULT_MOVE_MS = 1_000.0
 
@@ -44,6 +44,19 @@
         return self.value
 
 
+@dataclass(slots=True)
+class _MeanHoldTime:
+    """For how long threads are held, in ms: the exact mean of the first requests, then one that forgets."""
+
+    value_ms: float = 0.0  # 0: no request has ended yet
+    _weight: float = 0.0
+
+    def add(self, held_ms: float, weight: float = 1.0) -> None:
+        """Learn from a request that has ended; its weight is at most 1."""
+        self._weight = min(self._weight + weight, 1.0 / HOLD_LEARNING_FACTOR)
+        self.value_ms += (held_ms - self.value_ms) * weight / self._weight
+
+
 class LocalLimit(Protocol):
     """One of the fleet's limits, as it binds this coordinator. Allotments are in the limit's units."""
 
@@ -83,7 +96,7 @@
         self._move_ms = move_ms  # in which an allotment comes to where it is wanted
         self._in_use = 0
         self._waiting = 0
-        self._hold_ms = INITIAL_HOLD_MS  # for which a thread is held, on average
+        self._mean_hold = _MeanHoldTime()
         self._mean_threads = _DecayingMean()  # thread-milliseconds a millisecond
 
     def request_waiting(self, now_ms: float, threads: int, hold_ms: float) -> None:
@@ -106,8 +119,7 @@
     def request_ended(self, threads: int, held_ms: float) -> None:
         """Free its threads, and learn from how long it held them; a large request tells more."""
         self._in_use -= threads
-        weight = min(1.0, threads / self._limit.quantum)
-        self._hold_ms += (held_ms - self._hold_ms) * weight * HOLD_LEARNING_FACTOR
+        self._mean_hold.add(held_ms, min(1.0, threads / self._limit.quantum))
 
     def in_use(self) -> int:
         """Return the threads in use."""
@@ -128,10 +140,15 @@
         return min(self._limit.units, max(self._in_use, math.ceil(wanted)))
 
     def forecast(self, now_ms: float, allotment: int) -> ThreadQuota:
-        """Return the allotment with what is in use, and who competes for it."""
+        """Return the allotment with what is in use, and who competes for it.
+
+        What is in use counts as about to end until a request has ended: a guess must reject nobody.
+        """
         by_team = bool(self._limit.team)
         by_class = bool(self._limit.class_name)
-        return ThreadQuota(allotment, self._in_use, self._hold_ms, by_team, by_class, self._move_ms)
+        return ThreadQuota(
+            allotment, self._in_use, self._mean_hold.value_ms, by_team, by_class, self._move_ms
+        )
 
 
 class RateLimit:
@@ -222,7 +239,7 @@
         allotment: Callable[[float], Sequence[int]],
         move_ms: float = DEFAULT_MOVE_MS,
     ) -> None:
-        self.hold_ms_of_class = [INITIAL_HOLD_MS] * len(classes)  # mean time that a request holds its threads
+        self._mean_hold_of_class = [_MeanHoldTime() for _ in classes]
         self._allotment = allotment
         self._limits: tuple[LocalLimit, ...] = tuple(
             ThreadLimit(limit, move_ms) if limit.kind == "threads" else RateLimit(limit, move_ms)
@@ -239,10 +256,14 @@
             for class_index, class_name in enumerate(classes)
         }
 
+    def hold_ms(self, class_index: int) -> float:
+        """Return for how long a request of a class holds its threads, on average."""
+        return self._mean_hold_of_class[class_index].value_ms or INITIAL_HOLD_MS
+
     def request_waiting(self, now_ms: float, team: int, class_index: int, threads: int) -> None:
         """Count a request that has arrived and wants to start."""
         for index in self._indexes(team, class_index):
-            self._limits[index].request_waiting(now_ms, threads, self.hold_ms_of_class[class_index])
+            self._limits[index].request_waiting(now_ms, threads, self.hold_ms(class_index))
 
     def request_abandoned(self, team: int, class_index: int, threads: int) -> None:
         """Count a request that waits no more."""
@@ -274,8 +295,7 @@
         if started is None:
             return
         held_ms = max(0.0, now_ms - started.started_ms)
-        mean_ms = self.hold_ms_of_class[started.class_index]
-        self.hold_ms_of_class[started.class_index] += (held_ms - mean_ms) * HOLD_LEARNING_FACTOR
+        self._mean_hold_of_class[started.class_index].add(held_ms)
         for index in started.indexes:
             self._limits[index].request_ended(started.threads, held_ms)
 
--- a/fordstair/scheduling/fleet_quotas.py
+++ b/fordstair/scheduling/fleet_quotas.py
@@ -12,7 +12,7 @@
 
     threads: int  # 0 for none just now
     in_flight: int
-    mean_run_ms: float  # for which each of those in flight is taken
+    mean_run_ms: float  # for which each of those in flight is taken to run; 0: not known
     by_team: bool  # only requests of its own team compete for it
     by_class: bool  # only those of its own class
     transfer_ms: float  # in which a quota comes to where it is wanted
