Fix internal errors on engines' unreadable links and numbers: raise the typed errors alone

Cause: urlsplit, int and str.encode raise ValueError for some texts; own_path, page_count, result_status and read_page called them outside the handling of errors, so the attempt ended by the guard against internal errors. Change: own_path raises ProtocolError for a link that cannot be read or requested; decimal_number reads numbers; a page's text is encoded where errors are handled. Twin: a configuration that lists an engine under no address is refused in one line. Why it works: ProtocolError is what callers of a read expect; the query is asked for again, or its end counts as unknown.

--- a/fordstair/configuration/platform.py
+++ b/fordstair/configuration/platform.py
@@ -129,9 +129,13 @@
     zones = settings.get("areas") or []
     kinds = settings.get("hostTypes") or []
     try:
-        return tuple(read_known_event(command, zones, kinds) for command in known.get("cmds", []))
+        events = tuple(read_known_event(command, zones, kinds) for command in known.get("cmds", []))
     except (KeyError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"known.cmds: {type(error).__name__}: {error}") from None
+    for event in events:
+        for engine in event.engines:
+            address(engine.address, f"known.cmds: the address of {engine.entry.engine}")
+    return events
 
 
 def _seed(document: Mapping[str, Any]) -> int:
--- a/fordstair/net/engines/odata_wire.py
+++ b/fordstair/net/engines/odata_wire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urljoin, urlsplit
@@ -13,6 +14,7 @@
 import ujson
 
 from fordstair.core.ports import Query
+from fordstair.net.decimal_text import decimal_number
 from fordstair.net.engines.errors import ProtocolError
 from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
 
@@ -23,6 +25,8 @@
 MAX_POLL_INTERVAL_MS = 1_000.0
 STATUS_OK = 200
 STATUS_RUNNING = 202
+_REQUEST_TARGET = re.compile(r"[!-~]+", re.ASCII)  # what may stand in a request line
+_SHOWN_CHARS = 80  # of an engine's own text in an error message
 
 _REQUEST_ID = "Txn"
 _REQUEST_CLASS = "Lane"
@@ -68,17 +72,17 @@
 
 def poll_interval_ms(response: HttpResponse) -> float:
     """Return how long the engine wants to be left alone: its Retry-After, within a bound."""
-    retry_after_s = response.header(b"retry-after")
-    if not retry_after_s.isdecimal():
+    retry_after_s = decimal_number(response.header(b"retry-after"))
+    if retry_after_s is None:
         return POLL_INTERVAL_MS
-    return min(MAX_POLL_INTERVAL_MS, float(retry_after_s) * 1000.0)
+    return min(MAX_POLL_INTERVAL_MS, retry_after_s * 1000.0)
 
 
 def result_status(response: HttpResponse) -> int:
     """Return the HTTP status of the query's end; a status monitor itself answers 200 for any end."""
-    result = response.header(b"asyncresult", "200")
-    if response.status == STATUS_OK and result.isdecimal():
-        return int(result)
+    result = decimal_number(response.header(b"asyncresult", "200"))
+    if response.status == STATUS_OK and result is not None:
+        return result
     return response.status
 
 
@@ -88,13 +92,22 @@
 
 
 def own_path(address: str, link: str) -> str:
-    """Return the path of a link, empty for an empty one; raise ForeignLinkError."""
+    """Return the path of a link, empty for an empty one.
+
+    Raise ProtocolError for a link that cannot be read or requested, and ForeignLinkError.
+    """
     if not link:
         return ""
-    parts = urlsplit(urljoin(f"http://{address}{ROOT}", link))
+    try:
+        parts = urlsplit(urljoin(f"http://{address}{ROOT}", link))
+    except ValueError as error:
+        raise ProtocolError(f"no link: {error}") from None
     if parts.netloc != address or not parts.path.startswith("/"):
         raise ForeignLinkError("a link leads to another host")
-    return parts.path + (f"?{parts.query}" if parts.query else "")
+    target = parts.path + (f"?{parts.query}" if parts.query else "")
+    if not _REQUEST_TARGET.fullmatch(target):
+        raise ProtocolError(f"no link: {target[:_SHOWN_CHARS]!r}")
+    return target
 
 
 def read_page(address: str, body: bytes) -> Page:
@@ -107,9 +120,10 @@
         rows = [[_cell(value) for name, value in row.items() if "@" not in name] for row in page["value"]]
         next_link = page.get(_NEXT_LINK, page.get(_SHORT_NEXT_LINK, ""))
         next_path = own_path(address, next_link)
+        text = "".join("\t".join(row) + "\n" for row in rows).encode()
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError(f"no page of OData: {type(error).__name__}: {error}") from None
-    return Page("".join("\t".join(row) + "\n" for row in rows).encode(), next_path)
+    return Page(text, next_path)
 
 
 def _encode(parameters: dict[str, Any]) -> bytes:
--- a/fordstair/net/engines/rest_wire.py
+++ b/fordstair/net/engines/rest_wire.py
@@ -6,6 +6,7 @@
 
 from fordstair.core.ports import Query
 from fordstair.decisions.events import NoteKind, Status
+from fordstair.net.decimal_text import decimal_number
 from fordstair.net.engines.errors import ProtocolError
 from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
 
@@ -66,10 +67,11 @@
 
 def page_count(response: HttpResponse) -> int:
     """Return of how many pages the result consists; raise ProtocolError."""
-    pages = response.header(_PAGE_COUNT)
-    if not pages.isdecimal() or not 1 <= int(pages) <= MAX_PAGES:
-        raise ProtocolError(f"{pages[:20]!r} pages")
-    return int(pages)
+    text = response.header(_PAGE_COUNT)
+    pages = decimal_number(text)
+    if pages is None or not 1 <= pages <= MAX_PAGES:
+        raise ProtocolError(f"{text[:20]!r} pages")
+    return pages
 
 
 def page_rows(response: HttpResponse, page: int) -> bytes:
