Fix requests at the OData front that were read and closed unanswered: reject them with 400

Cause: urlsplit, str.encode and int raise ValueError on what clients sent, past the errors that the router answers. Change: decode_json checks a body where it is read, before a load begins; targets and tokens are read with typed errors. Why it works: what could not be written again later is refused before anything of it has run.

--- a/fordstair/net/clients/odata_batch.py
+++ b/fordstair/net/clients/odata_batch.py
@@ -9,7 +9,13 @@
 import ujson
 
 from fordstair.net.clients.odata_errors import ODataError
-from fordstair.net.clients.odata_messages import ODataRequest, Response, encode_json, error_response
+from fordstair.net.clients.odata_messages import (
+    ODataRequest,
+    Response,
+    decode_json,
+    encode_json,
+    error_response,
+)
 from fordstair.net.clients.odata_metadata import XML
 from fordstair.net.clients.odata_preferences import Preferences
 from fordstair.net.clients.odata_statements import StatementRunner
@@ -108,7 +114,7 @@
     try:
         parts = [
             BatchPart(str(each["id"]), str(each["method"]).upper(), str(each["url"]), each)
-            for each in ujson.loads(body)["requests"]
+            for each in decode_json(body)["requests"]
         ]
     except (ValueError, KeyError, TypeError):
         raise ODataError(400, "BadBatch", "each request needs an id, a method and a url") from None
--- a/fordstair/net/clients/odata_loads.py
+++ b/fordstair/net/clients/odata_loads.py
@@ -6,10 +6,8 @@
 from typing import Any
 from urllib.parse import quote
 
-import ujson
-
 from fordstair.net.clients.odata_errors import ODataError
-from fordstair.net.clients.odata_messages import Response, encode_json, error_response
+from fordstair.net.clients.odata_messages import Response, decode_json, encode_json, error_response
 from fordstair.net.clients.odata_model import EntitySet
 from fordstair.net.clients.odata_preferences import Preferences
 from fordstair.net.clients.odata_sql import insert_statement, read_resource
@@ -70,7 +68,7 @@
         if resource.key is not None:
             raise ODataError(405, "NotAllowed", "a single entity is only read", {"Allow": "GET"})
         try:
-            return resource.entity_set, ujson.loads(body)
+            return resource.entity_set, decode_json(body)
         except ValueError:
             raise ODataError(400, "BadRequest", "the body is no JSON") from None
 
--- a/fordstair/net/clients/odata_messages.py
+++ b/fordstair/net/clients/odata_messages.py
@@ -37,6 +37,19 @@
     return text.encode("utf-8", "replace")
 
 
+def decode_json(body: bytes) -> Any:
+    """Read JSON; raise ValueError for what is none, or could not be written again.
+
+    The latter are texts with a lone surrogate and numbers that are not finite.
+    """
+    value = ujson.loads(body)
+    try:
+        ujson.dumps(value, ensure_ascii=False, allow_nan=False).encode()
+    except OverflowError as error:
+        raise ValueError(str(error)) from None
+    return value
+
+
 def error_response(error: ODataError) -> Response:
     """Return the response to a request that has failed."""
     body = {"error": {"code": error.code, "message": error.message}}
--- a/fordstair/net/clients/odata_results.py
+++ b/fordstair/net/clients/odata_results.py
@@ -9,6 +9,7 @@
 
 from fordstair.net.clients.odata_errors import ODataError
 from fordstair.net.clients.odata_model import EntitySet
+from fordstair.net.decimal_text import decimal_number
 from fordstair.runtime.deadlines import Deadlines
 
 MAX_STORED_BYTES = 32 * 1024 * 1024  # of all results together, within the limit on memory
@@ -74,7 +75,8 @@
     def page(self, token: str, team: str) -> PagePosition:
         """Return the page that a skip token names; raise ODataError where its result is no longer stored."""
         name, _, start = token.partition("-")
+        start_row = decimal_number(start)
         result = self._results.get(name)
-        if result is None or result.team != team or not start.isdecimal() or int(start) >= len(result.rows):
+        if result is None or result.team != team or start_row is None or start_row >= len(result.rows):
             raise ODataError(410, "ResultGone", "this result is no longer kept; ask anew")
-        return PagePosition(result, int(start), name)
+        return PagePosition(result, start_row, name)
--- a/fordstair/net/clients/odata_router.py
+++ b/fordstair/net/clients/odata_router.py
@@ -51,7 +51,10 @@
             return error_response(ODataError(400, "BadRequest", "not UTF-8"))
 
     async def _route(self, request: ODataRequest) -> Response:
-        url = urlsplit(request.target)
+        try:
+            url = urlsplit(request.target)
+        except ValueError:
+            raise ODataError(400, "BadRequest", "the target is no URL") from None
         path = self._path_below_root(url.path, in_batch=request.in_batch)
         options = dict(parse_qsl(url.query, keep_blank_values=True))
         team = self._team(request.headers)
--- a/fordstair/net/clients/odata_sql.py
+++ b/fordstair/net/clients/odata_sql.py
@@ -11,6 +11,7 @@
 from fordstair.net.clients.odata_errors import ODataError
 from fordstair.net.clients.odata_filter import filter_to_sql, quote_text
 from fordstair.net.clients.odata_model import EntitySet
+from fordstair.net.decimal_text import decimal_number
 
 _KEY = re.compile(r"(?P<set>\w+)\((?:(?P<name>\w+)=)?'(?P<key>(?:[^']|'')*)'\)\Z")
 _OPTIONS = {"$select", "$filter", "$orderby", "$top", "$skip", "$count", "$skiptoken", "$format"}
@@ -136,6 +137,7 @@
 
 
 def _natural(option: str, text: str) -> int:
-    if not text.isdecimal() or len(text) > _MAX_NUMBER_DIGITS:
+    number = decimal_number(text)
+    if number is None or len(text) > _MAX_NUMBER_DIGITS:
         raise ODataError(400, "BadRequest", f"{option} is no natural number")
-    return int(text)
+    return number
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import tempfile
+from collections.abc import Sequence
 from contextlib import suppress
+from pathlib import Path
 from typing import Any
 
 import msgpack
 import pytest
+import trio
 import ujson
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from fordstair.configuration import operator_file
 from fordstair.configuration.errors import ConfigError
 from fordstair.configuration.platform import parse
 from fordstair.core.coordinator import Coordinator
@@ -18,6 +23,13 @@
 from fordstair.decisions.engine_list import EngineEntry
 from fordstair.net.clients import rpc_wire
 from fordstair.net.clients.messagepack import IncompleteMessageError, MalformedMessageError, read
+from fordstair.net.clients.odata_errors import ODataError
+from fordstair.net.clients.odata_front import ODataFront
+from fordstair.net.clients.odata_messages import ODataRequest
+from fordstair.net.clients.odata_model import EntitySet
+from fordstair.net.clients.odata_results import Result, StoredResults
+from fordstair.net.clients.odata_router import ODataRouter
+from fordstair.net.clients.odata_statements import Statement, StatementRunner
 from fordstair.net.clients.rpc_query import InvalidRequestError, read_query
 from fordstair.net.console_commands import InvalidCommandError, read_command
 from fordstair.net.engine_list_wire import FrameError, read_event, read_frame
@@ -31,6 +43,7 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from tests.standins import SETTINGS, config
+from tests.test_odata import OPERATOR, READING
 
 many = settings(max_examples=200, derandomize=True, deadline=None)
 CUT_ADDRESS = "http://[::1"  # that urlsplit rejects
@@ -95,11 +108,63 @@
     assert all("!" <= char <= "~" for char in call.path)  # what it named can be asked for
 
 
+class StubStatements(StatementRunner):
+    """Runs no statement: writes it as it would be sent, and has one row for each."""
+
+    async def run(self, statement: Statement) -> Sequence[bytes]:
+        """Return the row."""
+        self._query(statement)
+        return [b"a\tb\tc\n"]
+
+
+def odata_router() -> ODataRouter:
+    """A router in a program that is not started."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "appliance.toml"
+        path.write_text(OPERATOR)
+        operator = operator_file.operator_options(
+            operator_file.load_operator_file(str(path), require_site=False)
+        )
+    front = ODataFront(coordinator(), operator)
+    return ODataRouter(front, trio.testing.MemorySendStream(), StubStatements(front.coordinator))  # type: ignore[arg-type]
+
+
 def coordinator() -> Coordinator:
     """A coordinator that is not started."""
     return Coordinator(parse(config()).settings, 1, {}, Deadlines(), Counters())
 
 
+ROUTER = odata_router()
+TARGETS = ["/odata/Readings", "/odata/$batch", "/odata/Settlements?$skiptoken="]
+
+
+@many
+@given(
+    st.sampled_from(["GET", "POST"]),
+    st.builds(lambda start, end: start + end, st.sampled_from([*TARGETS, ""]), odd_text),
+    json_value | st.fixed_dictionaries({name: json_value for name in READING}),
+    odd_text,
+)
+@example("GET", CUT_ADDRESS, None, "")
+@example("GET", f"/odata/Settlements?$skiptoken=a-{DIGITS}", None, "")
+@example("POST", "/odata/Readings", READING | {"meter": SURROGATE}, "")
+@example("POST", "/odata/Readings", READING | {"kwh": float("inf")}, "")
+@example("POST", "/odata/$batch", {"requests": [{"id": "1", "method": "GET", "url": "//["}]}, "")
+@example(
+    "POST", "/odata/$batch", {"requests": [{"id": SURROGATE, "method": SURROGATE, "url": SURROGATE}]}, ""
+)
+def test_every_request_at_the_odata_front_is_answered(
+    method: str, target: str, body: object, header: str
+) -> None:
+    # Guards against a request that is read, and whose connection closes without an answer.
+    headers = {"content-type": "application/json", "prefer": header, "repeatability-request-id": header}
+    encoded = ujson.dumps(body).encode("utf-8", "surrogatepass")
+    response = trio.run(ROUTER.respond, ODataRequest(method, target, headers, encoded))
+    assert 200 <= response.status < 600
+    if response.headers.get("Content-Type", "json") == "json" and response.body:
+        assert "Infinity" not in response.body.decode()
+
+
 @many
 @given(json_value, st.binary(max_size=60))
 @example(["lookup", {"unique": SURROGATE}], b"")
@@ -136,3 +201,15 @@
     # Guards against an address that fails each attempt with an internal error.
     with pytest.raises(ConfigError, match="known"):
         parse(config(address) | {"settings": SETTINGS})
+
+
+def test_a_page_token_whose_number_is_too_long_names_no_page() -> None:
+    # Guards against the same end of a connection by a token of a result that is stored.
+    results = StoredResults(10, 1_000.0, Deadlines())
+    readings = EntitySet("Readings", "readings_2.intervals", ("meter",), "settlement", "lookup")
+    name = results.store(Result("karri-energy", [b"a", b"b"], readings, ("meter",), 1))
+    assert results.page(f"{name}-1", "karri-energy").start == 1
+    for start in (DIGITS, "2", "", "-1", "²"):
+        with pytest.raises(ODataError) as error:
+            results.page(f"{name}-{start}", "karri-energy")
+        assert error.value.status == 410
