Fix the platform's start at a taken port: one line and status 2 in place of a traceback

Cause: the fault is raised by a task, in a group, and main() handled ConfigError only around the reading of the configuration. Change: one handler around reading and running; problem_lines unfolds groups for the platform and for the appliance. Why it works: except* takes the error out of a group at any depth.

--- a/fordstair/cli/serve.py
+++ b/fordstair/cli/serve.py
@@ -5,7 +5,7 @@
 import trio
 
 from fordstair.configuration import operator_file
-from fordstair.configuration.errors import ConfigError
+from fordstair.configuration.errors import ConfigError, problem_lines
 from fordstair.configuration.platform import Config
 from fordstair.logs.handler import start_logging
 from fordstair.program import Program
@@ -27,18 +27,10 @@
             handler.listeners.append(program.console_server.note)
         trio.run(program.run)
     except* ConfigError as group:
-        problems = [str(error) for error in _leaves(group)]
-        raise ConfigError("\n".join(f"{path}: {problem}" for problem in problems)) from None
+        raise ConfigError("\n".join(f"{path}: {line}" for line in problem_lines(group))) from None
     finally:
         handler.close()
 
 
 def _read_config(path: str) -> Config:
     return operator_file.coordinator_config(operator_file.load_operator_file(path, require_site=True))
-
-
-def _leaves(group: BaseExceptionGroup[ConfigError]) -> list[ConfigError]:
-    found = list[ConfigError]()
-    for each in group.exceptions:
-        found += _leaves(each) if isinstance(each, BaseExceptionGroup) else [each]
-    return found
--- a/fordstair/configuration/errors.py
+++ b/fordstair/configuration/errors.py
@@ -10,6 +10,13 @@
     """A field that cannot be used; the message names it, one line a problem."""
 
 
+def problem_lines(error: ConfigError | BaseExceptionGroup[ConfigError]) -> list[str]:
+    """Return a line for each problem; a program's tasks raise their errors in groups."""
+    if isinstance(error, ConfigError):
+        return str(error).splitlines()
+    return [line for each in error.exceptions for line in problem_lines(each)]
+
+
 class SettingsDocumentError(ValueError):
     """A setting that cannot be read; the message names its path and what is wrong."""
 
--- a/fordstair/entry_point.py
+++ b/fordstair/entry_point.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from fordstair.configuration.errors import ConfigError
+from fordstair.configuration.errors import ConfigError, problem_lines
 from fordstair.configuration.platform import Config, load
 from fordstair.program import Program
 from fordstair.runtime.event_log import PlainFormatter
@@ -37,20 +37,25 @@
     parser.add_argument("--operator", metavar="FILE", help="the operator's file: OData, identities, console")
     arguments = parser.parse_args()
     _log_to_standard_error()
+    exit_code = EXIT_OK
     try:
-        if arguments.operator is not None and not os.environ.get("RELAY_CONFIG"):
-            from fordstair.cli.serve import run  # without the platform, the file configures everything
-
-            run(arguments.operator)
-            return EXIT_OK
-        config, operator = read_configuration(arguments.operator)
-        program = Program(config, operator, load)
-    except ConfigError as error:
-        for line in str(error).splitlines():
+        _run(arguments.operator)
+    except* ConfigError as group:
+        for line in problem_lines(group):
             print(f"fordstair: {line}", file=sys.stderr)
-        return EXIT_BAD_CONFIGURATION
-    trio.run(program.run)
-    return EXIT_OK
+        exit_code = EXIT_BAD_CONFIGURATION
+    return exit_code
+
+
+def _run(operator_path: str | None) -> None:
+    """Run until the program has drained; raise ConfigError, or a group with one, also from its tasks."""
+    if operator_path is not None and not os.environ.get("RELAY_CONFIG"):
+        from fordstair.cli.serve import run  # without the platform, the file configures everything
+
+        run(operator_path)
+        return
+    config, operator = read_configuration(operator_path)
+    trio.run(Program(config, operator, load).run)
 
 
 def _log_to_standard_error() -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -32,13 +33,36 @@
 def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path: Path, text: str) -> None:
     path = tmp_path / "config.json"
     path.write_text(text)
-    done = subprocess.run(
-        [sys.executable, "-m", "fordstair"],
+    done = run_to_its_end(path)
+    assert done.returncode == 2
+    assert len(done.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize("operator", ["", "[odata]\nlisten = '127.0.0.1:{port}'\nteam = 'karri-energy'\n"])
+def test_a_port_that_is_taken_is_one_line_and_exit_2(tmp_path: Path, operator: str) -> None:
+    # Guards against a traceback and status 1 for a fault of configuration that the program's tasks find.
+    path = tmp_path / "config.json"
+    arguments: list[str] = []
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        path.write_text(ujson.dumps(config() if operator else config() | {"listen": f"127.0.0.1:{port}"}))
+        if operator:
+            (tmp_path / "operator.toml").write_text(operator.format(port=port))
+            arguments = ["--operator", str(tmp_path / "operator.toml")]
+        done = run_to_its_end(path, *arguments)
+    assert done.returncode == 2
+    (line,) = (line for line in done.stderr.decode().splitlines() if "listening" not in line)
+    assert f"127.0.0.1:{port}" in line
+    assert line.startswith("fordstair: odata: " if operator else "fordstair: listens: ")
+
+
+def run_to_its_end(path: Path, *arguments: str) -> subprocess.CompletedProcess[bytes]:
+    """Run the program on a configuration that it cannot use."""
+    return subprocess.run(
+        [sys.executable, "-m", "fordstair", *arguments],
         env=os.environ | {"RELAY_CONFIG": str(path)},
         cwd=ROOT,
         capture_output=True,
         timeout=30,
         check=False,
     )
-    assert done.returncode == 2
-    assert len(done.stderr.splitlines()) == 1
