Fix engines that look warm to a clock that was ahead before the start: date lists by themselves

Cause: StartTimes dated the engines of a list by the wall clock at the program's start, and nothing checks that. Change: the youngest engine of a list counts as just started, the others as older by the difference of their listed starts. Why it works: those differences come from one clock, discovery's; ours is not in them.

--- a/fordstair/core/start_times.py
+++ b/fordstair/core/start_times.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from fordstair.runtime.clock import AnchoredClock, MonotonicMs, UnixMs, monotonic_now
 
@@ -19,12 +19,23 @@
     The wall clock is read when the program starts, and never again: a step while the program runs makes no
     cold engine look warm, and none cold for an hour. A clock that was ahead before the program started shows
     by announced starts that seem too old.
+
+    In a list, nothing tells such a clock from engines that started long ago. The youngest engine of the list
+    then counts as just started, and each other one as older by the difference of their starts, which the list
+    itself tells. An engine that is warm by that is warm whatever the clock says.
     """
 
     def __init__(self, anchor: AnchoredClock, clock: Callable[[], MonotonicMs] = monotonic_now) -> None:
         self._anchor = anchor
         self._clock = clock
         self._known: dict[str, tuple[UnixMs, MonotonicMs]] = {}  # by engine: as listed, and as estimated
+        self._latest_listed: UnixMs | None = None  # the latest start in any list
+
+    def note_listed(self, starts: Iterable[UnixMs]) -> None:
+        """Take in the starts of a list, before the moment of any of them is asked for."""
+        for started in starts:
+            if self._latest_listed is None or started > self._latest_listed:
+                self._latest_listed = started
 
     def moment(self, engine: str, started: UnixMs | None, *, announced: bool) -> float:
         """Return the start of an engine in ms; ``announced`` says that discovery lists it as just started."""
@@ -46,4 +57,7 @@
         moment = self._anchor.monotonic(started)
         if announced and now - moment > MAX_ANNOUNCEMENT_DELAY_MS:
             return now
+        if not announced and self._latest_listed is not None:
+            younger_by_ms = self._latest_listed.value - started.value
+            moment = MonotonicMs(now - max(0.0, younger_by_ms))
         return max(EARLIEST_MS, min(now, moment))
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -121,8 +121,7 @@
 
         Raise ConfigError where an address or path of the configuration cannot be used.
         """
-        for _, kind, engines in self.config.known:
-            self.intake.apply(kind, engines)
+        self.intake.from_configuration(self.config.known)
         async with trio.open_nursery() as nursery:
             await self._start_core(nursery)
             await self._start_optional_parts(nursery)
--- a/fordstair/program/engine_list_intake.py
+++ b/fordstair/program/engine_list_intake.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import replace
 
 import trio
@@ -11,6 +11,8 @@
 from fordstair.core.ports import Engine
 from fordstair.core.start_times import StartTimes
 from fordstair.decisions.engine_list import EngineState, ListUpdateKind
+from fordstair.net.engine_list_wire import EngineListEvent
+from fordstair.runtime.clock import UnixMs
 
 
 class EngineListIntake:
@@ -28,8 +30,17 @@
         """Apply an update as discovery sends it: what a delta says has changed has changed just now."""
         self.apply(kind, engines, announced=kind is ListUpdateKind.DELTA)
 
+    def from_configuration(self, events: Sequence[EngineListEvent]) -> None:
+        """Apply what the configuration knows at the start: a list, and what has changed in it since."""
+        listed = [engine for event in events for engine in event.engines]
+        self._start_times.note_listed(_known_starts(listed))
+        for event in events:
+            self.apply(event.kind, event.engines)
+
     def apply(self, kind: ListUpdateKind, engines: list[Engine], *, announced: bool = False) -> None:
         """Apply an update; ``announced`` says that its changes have just happened."""
+        if not announced:
+            self._start_times.note_listed(_known_starts(engines))
         for engine in engines:
             self._complete(engine, announced=announced)
         self._coordinator.update_engines(kind, engines)
@@ -47,3 +58,7 @@
         if engine.entry.state is EngineState.GONE:
             self._start_times.forget(name)
         engine.protocol = self._protocols.get(name, engine.protocol)
+
+
+def _known_starts(engines: Iterable[Engine]) -> Iterator[UnixMs]:
+    return (engine.started_at for engine in engines if engine.started_at is not None)
--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -205,6 +205,43 @@
     assert starts.moment("a", UnixMs(true_wall_ms), announced=True) == clocks.monotonic_ms
 
 
+@pytest.mark.parametrize("ahead_ms", [0.0, 20_000.0, HOUR_MS, -HOUR_MS])
+def test_a_list_read_by_a_clock_that_was_wrong_before_the_start_makes_no_cold_engine_look_warm(
+    ahead_ms: float,
+) -> None:
+    # Guards against a cold engine that gets a warm one's load since the wall clock was ahead as we started.
+    clocks = Clocks()
+    true_wall_ms, clocks.wall_ms = clocks.wall_ms, clocks.wall_ms + ahead_ms
+    starts = StartTimes(AnchoredClock(clocks.monotonic, clocks.unix), clocks.monotonic)
+    ages_ms = {"oldest": 600_000.0, "older": 12_000.0, "youngest": 2_000.0}
+    listed = {name: UnixMs(true_wall_ms - age_ms) for name, age_ms in ages_ms.items()}
+    starts.note_listed(listed.values())
+    for name, started in listed.items():
+        estimated_age_ms = clocks.monotonic_ms - starts.moment(name, started, announced=False)
+        assert ages_ms[name] - ages_ms["youngest"] <= estimated_age_ms <= ages_ms[name]
+    # What is announced later is dated as before: a list says nothing of it.
+    clocks.pass_time(5_000.0)
+    if not ahead_ms:
+        announced = UnixMs(clocks.wall_ms - 1_000.0)
+        assert clocks.monotonic_ms - starts.moment("new", announced, announced=True) == 1_000.0
+
+
+def test_a_program_dates_the_engines_of_its_configuration_by_their_list() -> None:
+    told = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    servers = told["known"]["cmds"][0]["nodes"]["servers"]
+    for server, started_ms in zip(servers, (0, 1.7e12 - 9_000.0, 1.7e12), strict=True):
+        server["started_ms"] = started_ms  # years ago by any clock: the clock may be years ahead
+
+    async def scene() -> None:
+        async with inside(told) as node:
+            entries = [engine.entry for engine in node.coordinator.engines.values()]
+            assert entries[0].started_ms == 0.0
+            assert entries[2].started_ms - entries[1].started_ms == pytest.approx(9_000.0, abs=50.0)
+            assert node.deadlines.clock() - entries[2].started_ms < 5_000.0
+
+    trio.run(scene)
+
+
 def test_a_claim_is_kept_over_a_restart_whatever_the_wall_clock_says(tmp_path: Path) -> None:
     disk, granted_ms = RecordFile(str(tmp_path / "ledger")), 1_700_000_000_000
     disk.open()
