Fix the console's end by NoMatches: one screen owns the panes and whether they are there

Cause: the app's timer, the feed's worker, say and each answer of an adjustment looked for widgets themselves, also while the screen was being composed or taken down. With one pane's end held by a barrier, raises the recorded error each time. Change: MainScreen owns the panes; it shows the latest view once it is mounted and nothing after its end. Why it works: nothing but the screen touches a widget, and it does so only between its mount and its end.

--- a/fordstair/console/app.py
+++ b/fordstair/console/app.py
@@ -1,4 +1,4 @@
-"""The console on textual: panes that follow the feed, keys, and questions before what disturbs service."""
+"""The console on textual: what it follows, its keys, and questions before what disturbs service."""
 
 from __future__ import annotations
 
@@ -7,154 +7,21 @@
 from typing import Any, ClassVar
 
 from textual import work
-from textual.app import App, ComposeResult
+from textual.app import App
 from textual.binding import Binding, BindingType
-from textual.containers import Horizontal, Vertical
-from textual.screen import ModalScreen
-from textual.widgets import ContentSwitcher, DataTable, Footer, Input, Label, Static
+from textual.screen import Screen
 
 from fordstair.console.connection import ConsoleConnectionError, follow_snapshots, read_clocks, send_command
-from fordstair.console.panes import (
-    ADJUSTMENTS,
-    CLASSES,
-    ENGINES,
-    LOG,
-    MEMBERS,
-    REFUSALS,
-    REQUESTS,
-    SHARES,
-    TEAMS,
-    Pane,
-    headline,
-)
+from fordstair.console.dialogs import Help, LimitBox, Question
+from fordstair.console.main_screen import LOWER_PANES, MainScreen, Table, View
+from fordstair.console.panes import CLASSES, ENGINES, headline
 from fordstair.snapshots.freshness import Freshness
 from fordstair.snapshots.snapshot import Snapshot
 
+__all__ = ["ConsoleApp", "Question", "Table"]
+
 RECONNECT_S = 0.5  # between attempts to reach the program
 REFRESH_S = 0.25  # ages grow, and a lost feed is noticed, without a frame
-LOWER_PANES = (REQUESTS, REFUSALS, ADJUSTMENTS, LOG, MEMBERS, SHARES)
-
-HELP = """\
-What is shown
-  LIVE / STALE     STALE: the picture is over a second old, or the program is lost;
-                   what is then below was so when last heard, and engines get a '?'.
-  Engines          state as the decision module believes it; 'for': how long so;
-                   'told': age of its last load report; 'heard': last sign of work.
-                   silent: sent nothing but a trickle until it answers again.
-                   warming 40%: started lately; sent less, up to that share.
-  Classes, Teams   open requests, attempts out, threads they hold, the oldest's age.
-
-Keys
-  1 to 6    lower pane: waiting requests, refusals, adjustments in force, log, fleet, shares
-  a  b      set the marked engine aside (it gets nothing new) / bring it back
-  l         limit the threads of the marked class
-  d         drain: answer what is open, then end the program
-  tab       next pane     up, down   mark a row
-  ?         this help     q          leave the console (the program goes on)
-
-Adjustments last until the program starts again, and are logged with your name.
-Press any key to go back."""
-
-
-class Table(DataTable[str]):
-    """A pane's table: rows are kept by key, so that the mark stays where it is."""
-
-    def __init__(self, pane: Pane) -> None:
-        super().__init__(id=pane.name, cursor_type="row", zebra_stripes=False, cell_padding=1)
-        self.pane = pane
-        self.border_title = pane.title
-
-    def on_mount(self) -> None:
-        """Set the columns up."""
-        for name in self.pane.columns:
-            self.add_column(name, key=name)
-
-    def show(self, snapshot: Snapshot, now_ms: float, stale: bool) -> None:
-        """Bring the rows up to date; only cells that differ are touched."""
-        rows = self.pane.rows(snapshot, now_ms, stale)
-        keys = [key for key, _ in rows]
-        if keys != [str(row.value) for row in self.rows]:
-            marked = self.marked
-            self.clear()
-            for key, cells in rows:
-                self.add_row(*cells, key=key)
-            if marked in keys:
-                self.move_cursor(row=keys.index(marked))
-        else:
-            for key, cells in rows:
-                for name, cell in zip(self.pane.columns, cells, strict=True):
-                    if self.get_cell(key, name) != cell:
-                        self.update_cell(key, name, cell, update_width=True)
-        self.border_title = f"{self.pane.title} ({len(rows)})" if rows else f"{self.pane.title} (none)"
-
-    @property
-    def marked(self) -> str:
-        """The key of the marked row; empty without one."""
-        keys = [str(row.value) for row in self.rows]
-        return keys[self.cursor_row] if 0 <= self.cursor_row < len(keys) else ""
-
-
-class Help(ModalScreen[None]):
-    """What is shown, and every key."""
-
-    def compose(self) -> ComposeResult:
-        """Show the text."""
-        yield Static(HELP, id="help", markup=False)
-
-    def on_key(self) -> None:
-        """Any key closes it."""
-        self.dismiss()
-
-
-class Question(ModalScreen[bool]):
-    """Asks before what disturbs service; only ``y`` is a yes."""
-
-    BINDINGS: ClassVar[list[BindingType]] = [
-        Binding("y", "answer(True)", "yes"),
-        Binding("n,escape,enter,q", "answer(False)", "no"),
-    ]
-
-    def __init__(self, what: str, why: str) -> None:
-        super().__init__()
-        self.what = what
-        self.why = why
-
-    def compose(self) -> ComposeResult:
-        """Show what is about to be done, and what it does."""
-        yield Static(
-            f"{self.what}\n\n{self.why}\n\ny: do it    n: leave it as it is", id="question", markup=False
-        )
-
-    def action_answer(self, yes: bool) -> None:
-        """Close with the answer."""
-        self.dismiss(yes)
-
-
-class LimitBox(ModalScreen[str | None]):
-    """Asks for a number of threads."""
-
-    BINDINGS: ClassVar[list[BindingType]] = [Binding("escape", "leave", "leave")]
-
-    def __init__(self, class_name: str, now: str) -> None:
-        super().__init__()
-        self.class_name = class_name
-        self.limit_now = now
-
-    def compose(self) -> ComposeResult:
-        """Show the field."""
-        with Vertical(id="question"):
-            yield Label(
-                f"Threads that {self.class_name} may hold (now {self.limit_now}); empty lifts the limit"
-            )
-            yield Input(type="integer", id="threads")
-
-    def on_input_submitted(self, event: Input.Submitted) -> None:
-        """Close with the text."""
-        self.dismiss(event.value.strip())
-
-    def action_leave(self) -> None:
-        """Close without an answer."""
-        self.dismiss(None)
 
 
 class ConsoleApp(App[int]):
@@ -198,23 +65,15 @@
         self.snapshot = Snapshot()
         self.freshness = Freshness()
         self.shown = ""  # the headline as it stands
+        self.message = ""  # what came of the last key
+        self.main_screen = MainScreen()
 
-    def compose(self) -> ComposeResult:
-        """Lay the panes out."""
-        yield Static("", id="headline", markup=False)
-        yield Table(ENGINES)
-        with Horizontal(id="middle"):
-            yield Table(CLASSES)
-            yield Table(TEAMS)
-        with ContentSwitcher(initial=REQUESTS.name, id="lower"):
-            for pane in LOWER_PANES:
-                yield Table(pane)
-        yield Static("", id="message", markup=False)
-        yield Footer()
+    def get_default_screen(self) -> Screen[None]:
+        """Return the screen with the panes."""
+        return self.main_screen
 
     def on_mount(self) -> None:
         """Follow the feed, and let ages grow."""
-        self.query_one("#engines").focus()
         self.set_interval(REFRESH_S, self.refresh_panes)
         self.follow()
         self.refresh_panes()
@@ -237,19 +96,12 @@
         """Show the picture as it stands now."""
         mono, wall = self.clock()
         stale = self.freshness.staleness(mono, wall)
-        line = self.query_one("#headline", Static)
         self.shown = headline(self.snapshot, wall, stale)
-        line.update(self.shown)
-        line.set_class(bool(stale), "stale")
-        visible = self.query_one("#lower", ContentSwitcher).current
-        for table in self.query(Table):
-            if table.pane not in LOWER_PANES or table.pane.name == visible:
-                table.show(self.snapshot, wall, bool(stale))
+        self.main_screen.show(View(self.shown, self.snapshot, wall, bool(stale), self.message))
 
     def action_lower(self, name: str) -> None:
         """Show another lower pane."""
-        self.query_one("#lower", ContentSwitcher).current = name
-        self.query_one(f"#{name}").focus()
+        self.main_screen.show_lower(name)
         self.refresh_panes()
 
     def action_help(self) -> None:
@@ -258,12 +110,12 @@
 
     def action_set_aside(self) -> None:
         """Set the marked engine aside."""
-        if engine := self.query_one("#engines", Table).marked:
+        if engine := self.main_screen.marked(ENGINES):
             self.adjust(f"Set {engine} aside", "set-aside", engine=engine)
 
     def action_bring_back(self) -> None:
         """Bring the marked engine back."""
-        if engine := self.query_one("#engines", Table).marked:
+        if engine := self.main_screen.marked(ENGINES):
             self.adjust(f"Bring {engine} back", "bring-back", engine=engine)
 
     def action_drain(self) -> None:
@@ -273,7 +125,7 @@
     @work
     async def action_limit(self) -> None:
         """Limit the marked class."""
-        if not (class_name := self.query_one("#classes", Table).marked):
+        if not (class_name := self.main_screen.marked(CLASSES)):
             return
         limit = self.snapshot.table("classes")[class_name].concurrency_limit
         text = await self.push_screen_wait(LimitBox(class_name, "no limit" if limit is None else str(limit)))
@@ -303,4 +155,5 @@
 
     def say(self, text: str) -> None:
         """Show one line of what came of a key."""
-        self.query_one("#message", Static).update(text)
+        self.message = text
+        self.refresh_panes()
