Fix OData clients' time in a pause: count it from when a request may have come

Cause: the OData front began a client's wait with the statement; only the platform's front took the wait of a pause off. Change: ODataConnection notes the delay of what it reads by ReadDelay; waits of requests and of batches count from there. Why it works: the same bound as on the platform: bytes came after the event loop last saw that there were none.

--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -17,6 +17,7 @@
 from fordstair.net.clients.odata_messages import ODataRequest, Response, error_response
 from fordstair.net.clients.odata_router import ODataRouter
 from fordstair.net.clients.odata_statements import StatementRunner
+from fordstair.net.clients.read_delay import ReadDelay
 
 if TYPE_CHECKING:
     from fordstair.net.clients.odata_front import ODataFront
@@ -28,12 +29,14 @@
 class ODataConnection:
     """Answers one request after the other."""
 
-    def __init__(self, front: ODataFront, stream: trio.abc.Stream) -> None:
+    def __init__(self, front: ODataFront, stream: trio.abc.Stream, read_delay: ReadDelay) -> None:
         self._front = front
         self._stream = stream
         self._coordinator = front.coordinator
         self._deadlines = front.coordinator.deadlines
         self._http = h11.Connection(h11.SERVER)
+        self._read_delay = read_delay
+        self._received_ms = self._deadlines.clock()  # when bytes were read last
         self._has_requested = False  # it has sent a complete request
         self._statements = StatementRunner(front.coordinator)
         self._router = ODataRouter(front, stream, self._statements)
@@ -72,7 +75,7 @@
         """Wait for a request to begin; return whether one has, or the connection has ended, in time."""
         timeout_ms = ODATA_IDLE_TIMEOUT_MS if self._has_requested else ODATA_REQUEST_TIMEOUT_MS
         with self._deadlines.limit_for(timeout_ms) as limit:
-            self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+            self._http.receive_data(await self._read())
         if limit.cancelled_caught:
             self._coordinator.counters.add("odata.idle_timeout")
         return not limit.cancelled_caught
@@ -103,10 +106,20 @@
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._http.send(interim) or b"")
-        self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+        self._http.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        """Read what comes next; note for how long it may have been here."""
+        data = bytes(await self._stream.receive_some(READ_BYTES))
+        self._read_delay.note_readable()
+        self._received_ms = self._deadlines.clock()
+        if len(data) < READ_BYTES:
+            self._read_delay.note_drained(self._received_ms)
+        return data
 
     async def _answer(self, request: ODataRequest) -> None:
         """Answer one request, while watching for its client to leave."""
+        self._statements.begin_request(self._received_ms - self._read_delay.last_ms)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_end)
             response = await self._router.respond(request)
@@ -118,7 +131,7 @@
         """Note when the client closes; what it sends early waits in h11 for its turn."""
         while True:
             try:
-                data = await self._stream.receive_some(READ_BYTES)
+                data = await self._read()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
--- a/fordstair/net/clients/odata_front.py
+++ b/fordstair/net/clients/odata_front.py
@@ -12,6 +12,8 @@
 from fordstair.net.clients.odata_connection import ODataConnection
 from fordstair.net.clients.odata_model import Operator
 from fordstair.net.clients.odata_results import StoredResults
+from fordstair.net.clients.poll_watch import PollWatch
+from fordstair.net.clients.read_delay import ReadDelay
 from fordstair.net.clients.repeatable_requests import IdempotencyStore, LocalIdempotencyStore
 from fordstair.runtime.event_log import EventLog
 
@@ -27,10 +29,12 @@
         self,
         coordinator: Coordinator,
         operator: Operator,
+        poll_watch: PollWatch,
         team_of: Callable[[trio.abc.Stream], str | None] = lambda _: None,
     ) -> None:
         self.coordinator = coordinator
         self.operator = operator
+        self.poll_watch = poll_watch
         self.results = StoredResults(operator.max_results, operator.result_lifetime_ms, coordinator.deadlines)
         self.idempotency_store: IdempotencyStore = LocalIdempotencyStore(coordinator)
         self.team_of = team_of
@@ -42,8 +46,13 @@
         """Whether no request is being worked on."""
         return not self.open_requests
 
-    async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection; a fault in it ends no other."""
+    async def serve(
+        self, stream: trio.abc.Stream, sock: trio.socket.SocketType, accept_delay_ms: float = 0.0
+    ) -> None:
+        """Serve one connection; a fault in it ends no other.
+
+        ``accept_delay_ms`` says how long at most its first request may have waited for it to be accepted.
+        """
         if self.connections >= self.max_clients:
             self.coordinator.counters.add("odata.rejected")
             await trio.aclose_forcefully(stream)
@@ -51,7 +60,8 @@
         self.connections += 1
         self.coordinator.counters.add("odata.connections")
         try:
-            await ODataConnection(self, stream).run()
+            read_delay = ReadDelay(sock, self.poll_watch, self.coordinator.deadlines, accept_delay_ms)
+            await ODataConnection(self, stream, read_delay).run()
             await linger(stream, self.coordinator.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
             pass
--- a/fordstair/net/clients/odata_statements.py
+++ b/fordstair/net/clients/odata_statements.py
@@ -69,6 +69,8 @@
     def __init__(self, coordinator: Coordinator) -> None:
         self.coordinator = coordinator
         self.disconnected = False
+        self._request_sent_ms = coordinator.deadlines.clock()  # at the earliest
+        self._in_batch = False
         self._batch_deadline_ms = math.inf  # when the client stops waiting for the batch that is worked on
         self._live: LiveRequest | None = None
         self._reply = PendingReply()
@@ -80,14 +82,20 @@
             self.coordinator.client_disconnected(self._live)
             self._reply.done.set()
 
+    def begin_request(self, sent_ms: float) -> None:
+        """Begin to answer a request that was sent no earlier than that; its client waits since then."""
+        self._request_sent_ms = sent_ms
+
     @contextmanager
     def batch_limit(self, wait_ms: float | None) -> Iterator[None]:
         """Within the block, bound statements together to the wait of their batch; None: no bound."""
+        self._in_batch = True
         if wait_ms is not None:
-            self._batch_deadline_ms = self.coordinator.deadlines.clock() + wait_ms
+            self._batch_deadline_ms = self._request_sent_ms + wait_ms
         try:
             yield
         finally:
+            self._in_batch = False
             self._batch_deadline_ms = math.inf
 
     async def run(self, statement: Statement) -> Sequence[bytes]:
@@ -126,9 +134,16 @@
             table_group(statement.text),
             statement.entity_set.cost_ms,
             statement.entity_set.memory_mb,
+            self._waited_ms(),
             idempotency_key=_new_idempotency_key(spec),
         )
 
+    def _waited_ms(self) -> float:
+        """Return how long the client has waited before this statement; in a batch it waits for others."""
+        if self._in_batch:
+            return 0.0
+        return max(0.0, self.coordinator.deadlines.clock() - self._request_sent_ms)
+
     def _timeout_ms(self, statement: Statement, class_timeout_ms: float) -> float:
         """Return the least of what the class, the client and its batch allow."""
         timeout_ms = (
--- a/fordstair/net/clients/read_delay.py
+++ b/fordstair/net/clients/read_delay.py
@@ -18,14 +18,18 @@
     """
 
     def __init__(
-        self, stream: trio.SocketStream, poll_watch: PollWatch, deadlines: Deadlines, accept_delay_ms: float
+        self,
+        sock: trio.socket.SocketType,
+        poll_watch: PollWatch,
+        deadlines: Deadlines,
+        accept_delay_ms: float,
     ) -> None:
         self._poll_watch = poll_watch
         self._deadlines = deadlines
         self._connected_ms = deadlines.clock() - accept_delay_ms  # at the earliest
         self._drained_ms = deadlines.clock()  # when all that had come was read
         # Whether its first message was there as it was accepted; checked only where that was late.
-        self._came_with_connection = accept_delay_ms > USUAL_ACCEPT_DELAY_MS and stream.socket.is_readable()
+        self._came_with_connection = accept_delay_ms > USUAL_ACCEPT_DELAY_MS and sock.is_readable()
         self.last_ms = 0.0  # of what was read last
 
     def note_readable(self) -> None:
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -53,7 +53,9 @@
         self._invalid_in_a_row = 0  # messages that could not be used
         self._last_number = -1  # the id that came last
         self._writer = ResponseWriter(stream, self.deadlines, client_limits.RPC_WRITE_TIMEOUT_MS)
-        self._read_delay = ReadDelay(stream, poll_watch or PollWatch(), self.deadlines, accept_delay_ms)
+        self._read_delay = ReadDelay(
+            stream.socket, poll_watch or PollWatch(), self.deadlines, accept_delay_ms
+        )
         self._times_drained = 0  # how often all that had come was read and handled
         self._drained = False  # the last read left nothing behind
         self._handling = False  # something may have been read that is not handled
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -86,7 +86,7 @@
         self.budgets = build_fleet_budgets(operator, config, self.coordinator, self.admission_queue)
         self.poll_watch = PollWatch()
         self.rpc = RpcFront(self.coordinator, self.poll_watch)
-        self.odata = build_odata_front(operator, self.coordinator, self.identity)
+        self.odata = build_odata_front(operator, self.coordinator, self.identity, self.poll_watch)
         self.ledger = build_ledger(operator, config, self.odata, self.counters)
         self.membership = build_membership(operator, config, self.counters)
         self.console_server = build_console_server(
@@ -238,9 +238,10 @@
 
         async def serve(stream: trio.SocketStream, accept_delay_ms: float) -> None:
             try:
-                secured = stream if self.identity is None else await self.identity.secure(stream)
-                if secured is not None:
-                    await odata.serve(secured)
+                if self.identity is None:
+                    await odata.serve(stream, stream.socket, accept_delay_ms)
+                elif (secured := await self.identity.secure(stream)) is not None:
+                    await odata.serve(secured, stream.socket)  # nothing came before the handshake
             except Exception:  # one client's handshake must not end the others' connections
                 log.exception("odata.internal_error")
 
--- a/tests/test_engine_list.py
+++ b/tests/test_engine_list.py
@@ -52,6 +52,30 @@
         await trio.sleep(0.01)
 
 
+def test_a_drain_told_in_a_pause_holds_for_a_request_that_came_in_it() -> None:
+    # Guards against a request that overtakes a drain which has lain unread for longer than it may.
+    async def scene() -> None:
+        async with (
+            engine() as one,
+            channel() as (discovery, address),
+            program(config(one.address, channel=address)) as node,
+        ):
+            await discovery.connected(1)
+            client = await node.client()
+            assert await client.answer(await client.ask()) == (None, ROWS)
+            node.process.send_signal(signal.SIGSTOP)
+            waiting = [await client.ask() for _ in range(20)]
+            await discovery.tell(frame(2, (0, one.address, 1)))
+            await trio.sleep(1.2)
+            node.process.send_signal(signal.SIGCONT)
+            for number in waiting:
+                error, _ = await client.answer(number)
+                assert error[0] == "Overloaded"
+            assert len(one.posts) == 1
+
+    play(scene)
+
+
 def test_sighup_moves_the_channel_keeps_its_engines_and_refuses_a_bad_file() -> None:
     async def scene() -> None:
         async with (
--- a/tests/test_odata.py
+++ b/tests/test_odata.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import signal
 import time
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -290,6 +291,47 @@
     play(scene)
 
 
+PAUSE_S = 1.5
+WAIT_S = 3
+
+
+@pytest.mark.parametrize("batch", [False, True])
+@pytest.mark.parametrize("connected_before", [True, False])
+def test_what_a_request_waited_in_a_paused_program_comes_off_its_clients_time(
+    tmp_path: Path, connected_before: bool, batch: bool
+) -> None:
+    # Guards against a deadline that is counted from when the request was read.
+    request = b"GET /odata/Settlements HTTP/1.1\r\nHost: x\r\nPrefer: wait=%d\r\n\r\n" % WAIT_S
+    if batch:
+        body = ujson.dumps({"requests": [{"id": "1", "method": "GET", "url": "Settlements"}]}).encode()
+        request = (
+            b"POST /odata/$batch HTTP/1.1\r\nHost: x\r\nPrefer: wait=%d\r\n"
+            b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (WAIT_S, len(body), body)
+        )
+
+    async def scene() -> None:
+        async with engine(never) as one, appliance(tmp_path, one) as node:
+            port = node.ports["odata"]
+            if connected_before:  # it is accepted, and rests
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                await stream.send_all(b"GET /odata/ HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 200 " in await stream.receive_some(65536)
+            node.process.send_signal(signal.SIGSTOP)
+            if not connected_before:
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+            start = trio.current_time()
+            await stream.send_all(request)
+            await trio.sleep(PAUSE_S)
+            node.process.send_signal(signal.SIGCONT)
+            with trio.fail_after(WAIT_S + 0.5 - PAUSE_S):
+                answer = bytes(await stream.receive_some(65536))
+            assert b"504" in answer
+            assert trio.current_time() - start > WAIT_S - 0.5
+            assert int(one.posts[0][0]["x-limit-ms"]) <= (WAIT_S - PAUSE_S) * 1000.0 + 150.0
+
+    play(scene)
+
+
 def test_a_refusal_says_when_to_come_back(tmp_path: Path) -> None:
     async def scene() -> None:
         async with appliance(tmp_path) as node:  # no engine at all: nothing can run
