Fix bytes that came between two waits of a connection: date them by that gap

Callers: after a pause that began between an answer and the connection's next wait, a request still told its engine the whole wait.

Cause: the event loop polled after the pause while the connection was not waiting, so "the last poll saw nothing" said nothing of its bytes. The OData front waits anew for each request; the platform's front pauses for clients that read nothing. Change: ReadDelay.begin_wait notes whether bytes are there already; those are as old as the gap since the last wait. It covers what came before accepting as well, which was a case of its own.

--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -110,6 +110,7 @@
 
     async def _read(self) -> bytes:
         """Read what comes next; note for how long it may have been here."""
+        self._read_delay.begin_wait()
         data = bytes(await self._stream.receive_some(READ_BYTES))
         self._read_delay.note_readable()
         self._received_ms = self._deadlines.clock()
--- a/fordstair/net/clients/odata_front.py
+++ b/fordstair/net/clients/odata_front.py
@@ -47,9 +47,9 @@
         return not self.open_requests
 
     async def serve(
-        self, stream: trio.abc.Stream, sock: trio.socket.SocketType, accept_delay_ms: float = 0.0
+        self, stream: trio.abc.Stream, transport: trio.SocketStream, accept_delay_ms: float = 0.0
     ) -> None:
-        """Serve one connection; a fault in it ends no other.
+        """Serve one connection, over a transport that it may have secured; a fault in it ends no other.
 
         ``accept_delay_ms`` says how long at most its first request may have waited for it to be accepted.
         """
@@ -60,7 +60,7 @@
         self.connections += 1
         self.coordinator.counters.add("odata.connections")
         try:
-            read_delay = ReadDelay(sock, self.poll_watch, self.coordinator.deadlines, accept_delay_ms)
+            read_delay = ReadDelay(transport, self.poll_watch, self.coordinator.deadlines, accept_delay_ms)
             await ODataConnection(self, stream, read_delay).run()
             await linger(stream, self.coordinator.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
--- a/fordstair/net/clients/read_delay.py
+++ b/fordstair/net/clients/read_delay.py
@@ -7,39 +7,43 @@
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.runtime.deadlines import Deadlines
 
-# A connection that was accepted as soon has not brought a message that is late.
-USUAL_ACCEPT_DELAY_MS = 20.0
+SHORT_GAP_MS = 20.0  # between two waits of a connection: what came in it is not late
 
 
 class ReadDelay:
     """Estimates the delay of what is read on one connection.
 
-    ``accept_delay_ms`` says how long at most the connection was there before it was accepted.
+    While the connection waits for bytes, the event loop's polls tell how old they may be. What comes between
+    two waits, while it is not read from, is as old as that gap; so is what came before it was accepted, which
+    is at most ``accept_delay_ms`` ago.
     """
 
     def __init__(
-        self,
-        sock: trio.socket.SocketType,
-        poll_watch: PollWatch,
-        deadlines: Deadlines,
-        accept_delay_ms: float,
+        self, stream: trio.SocketStream, poll_watch: PollWatch, deadlines: Deadlines, accept_delay_ms: float
     ) -> None:
+        self._stream = stream
         self._poll_watch = poll_watch
         self._deadlines = deadlines
-        self._connected_ms = deadlines.clock() - accept_delay_ms  # at the earliest
         self._drained_ms = deadlines.clock()  # when all that had come was read
-        # Whether its first message was there as it was accepted; checked only where that was late.
-        self._came_with_connection = accept_delay_ms > USUAL_ACCEPT_DELAY_MS and sock.is_readable()
+        self._unwatched_since_ms = self._drained_ms - accept_delay_ms
+        self._came_unwatched = False  # what is read next was here before the wait for it
         self.last_ms = 0.0  # of what was read last
 
+    def begin_wait(self) -> None:
+        """The connection is about to wait for bytes."""
+        gap_ms = self._deadlines.clock() - self._unwatched_since_ms
+        self._came_unwatched = gap_ms > SHORT_GAP_MS and self._stream.socket.is_readable()
+
     def note_readable(self) -> None:
-        """Bytes are about to be read."""
-        if self._came_with_connection:
-            self.last_ms = self._deadlines.clock() - self._connected_ms
-            self._came_with_connection = False
+        """The wait is over: bytes are about to be read, or just were."""
+        now_ms = self._deadlines.clock()
+        if self._came_unwatched:
+            self.last_ms = now_ms - self._unwatched_since_ms
         else:
             self.last_ms = self._poll_watch.max_delay_ms(self._drained_ms)
+        self._unwatched_since_ms = now_ms - self.last_ms  # the same holds for what is left behind
 
     def note_drained(self, now_ms: float) -> None:
         """All that had come has been read."""
         self._drained_ms = now_ms
+        self._unwatched_since_ms = now_ms
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -53,9 +53,7 @@
         self._invalid_in_a_row = 0  # messages that could not be used
         self._last_number = -1  # the id that came last
         self._writer = ResponseWriter(stream, self.deadlines, client_limits.RPC_WRITE_TIMEOUT_MS)
-        self._read_delay = ReadDelay(
-            stream.socket, poll_watch or PollWatch(), self.deadlines, accept_delay_ms
-        )
+        self._read_delay = ReadDelay(stream, poll_watch or PollWatch(), self.deadlines, accept_delay_ms)
         self._times_drained = 0  # how often all that had come was read and handled
         self._drained = False  # the last read left nothing behind
         self._handling = False  # something may have been read that is not handled
@@ -185,6 +183,7 @@
         self._handling = False
         try:
             if isinstance(self.stream, trio.SocketStream):
+                self._read_delay.begin_wait()
                 await trio.lowlevel.wait_readable(self.stream.socket)
             self._read_delay.note_readable()
             self._handling = True  # from here to the next wait
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -239,9 +239,9 @@
         async def serve(stream: trio.SocketStream, accept_delay_ms: float) -> None:
             try:
                 if self.identity is None:
-                    await odata.serve(stream, stream.socket, accept_delay_ms)
+                    await odata.serve(stream, stream, accept_delay_ms)
                 elif (secured := await self.identity.secure(stream)) is not None:
-                    await odata.serve(secured, stream.socket)  # nothing came before the handshake
+                    await odata.serve(secured, stream)  # nothing came before the handshake
             except Exception:  # one client's handshake must not end the others' connections
                 log.exception("odata.internal_error")
 
