--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -238,7 +238,7 @@
                 return await (breaks if len(one.posts) == 1 else at_once)(one, method, path, headers, body)
 
             one.script = breaks_once
-            number = await client.ask(limit="20000")
+            number = await client.ask(limit="20000", unique="55cf377728d8d2bd")
             await until(lambda: gate and gate[0].held)
             ahead[0] = 4_700.0 if late else 0.0
             gate[0].open.set()
