Fix shedding a connection whose request is read and not handled yet

Cause: between a read that succeeds and its return trio runs other tasks; then nothing is unread and no request is open, and RpcConnection.idle was true. The reader then handled the request, and waited on the closed socket (client.internal_error). Change: a connection that holds something read and not handled is not idle; the reader looks for its cancellation first. Why it works: shedding asks idle right before it closes, with nothing run in between.

Measured: the new test, which holds the read at a barrier, fails on the code before ("the coordinator closed the connection") and passes here; tests/test_client_connections.py: 14 passed.

--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -70,10 +70,13 @@
 
     @property
     def idle(self) -> bool:
-        """Whether it is settled, and not in a message; one without an end keeps no capacity for ever."""
+        """Whether it is settled, has read nothing that is not handled, and is not in a message.
+
+        A message without an end keeps no capacity for ever.
+        """
         earliest_ms = self.deadlines.clock() - client_limits.RPC_MESSAGE_TIMEOUT_MS
         in_message = self.has_requested and self._message_began_ms > earliest_ms
-        return self.settled and not in_message
+        return self.settled and not (self._handling or in_message)
 
     @property
     def unread_bytes(self) -> bool:
@@ -183,6 +186,7 @@
         self._handling = False
         try:
             if isinstance(self.stream, trio.SocketStream):
+                await trio.lowlevel.checkpoint_if_cancelled()  # shed() has closed the socket
                 self._read_delay.begin_wait()
                 await trio.lowlevel.wait_readable(self.stream.socket)
             self._read_delay.note_readable()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -15,7 +15,7 @@
 from fordstair.net.clients.rpc_front import RpcFront
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
-from tests.scenes import ROWS, Endless, ends, play, until
+from tests.scenes import ROWS, Endless, ends, hold_reads, play, until
 from tests.standins import Answered, RestEngine, at_once, config, connect, engine, inside, never, program
 
 HALF = msgpack.packb([0, 1, "lookup", [{}, b"x" * 50]])[:-9]
@@ -126,6 +126,31 @@
     play(scene)
 
 
+def test_a_connection_whose_request_is_read_and_not_handled_yet_is_not_shed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a request that is read and then dropped with its connection, to make room for another.
+    gate = hold_reads(monkeypatch, taken=True)
+    gate.open.set()
+
+    async def scene() -> None:
+        async with engine() as one, inside(config(one.address)) as node:
+            gate.ports.add(node.listeners[0].socket.getsockname()[1])  # type: ignore[attr-defined]
+            client = await connect(node)
+            assert await client.answer(await client.ask()) == (None, ROWS)
+            node.rpc.max_clients = 1
+            gate.open = trio.Event()
+            number = await client.ask()
+            await until(lambda: gate.held)
+            other = await connect(node)
+            assert await ends(other, 5.0) == b""  # there is no room: the first is not idle
+            gate.open.set()
+            assert await client.answer(number) == (None, ROWS)
+            assert not any("internal_error" in name for name in node.counters.snapshot())
+
+    play(scene)
+
+
 def test_messages_in_pieces_are_timed_each_by_itself() -> None:
     """A busy connection whose reads always end inside a message is neither overdue nor to be shed."""
     fields = {"limit": "3000", "team": "karri-energy"}
