--- a/fordstair/lab/soak/clients.py
+++ b/fordstair/lab/soak/clients.py
@@ -106,9 +106,12 @@
         }
         body = b"/* work=%.1f rows=2 */ SELECT a FROM t_%d.lines" % (work_ms, self._number % 5)
         async with connection.lock:
+            if connection.over:  # its end was noted while another request was written: nothing goes out on it
+                return
             connection.last += 1
             number = connection.last
             request = RequestRecord(txn, kind.class_name, self._coordinator.name, self._now_s(), limit_s)
+            request.first = number == 1
             connection.open[number] = request  # before it is written: the answer may come at once
             connection.requests[number] = request
             if not await self._write(connection, msgpack.packb([0, number, kind.class_name, [fields, body]])):
@@ -152,6 +155,8 @@
         usable = [each for each in self._connections if len(each.open) < MAX_OPEN]
         if usable and self._random.random() < REUSE_SHARE:
             return self._random.choice(usable)
+        if not self._coordinator.accepts:
+            return self._random.choice(usable) if usable else None
         try:
             stream = await trio.open_tcp_stream(HOST, self._coordinator.port)
         except OSError:
--- a/fordstair/lab/soak/oracle.py
+++ b/fordstair/lab/soak/oracle.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from fordstair.lab.soak.plan import FaultKind
+from fordstair.lab.soak.plan import CONNECTION_CALLS, FaultKind
 from fordstair.lab.soak.records import AttemptRecord, RequestRecord, SoakRecord
 
 UNSAFE_LANE = "meter-load"
@@ -16,6 +16,8 @@
 GONE_SLACK_S = 0.1  # after a client has gone an attempt may still begin
 LIMIT_SLACK_MS = 150.0  # by which a deadline told to an engine may exceed what the client has left
 DRAIN_SLACK_S = 0.55  # after a drain was told an attempt may still begin
+END_S = 4.7  # from SIGTERM, in which a planned end has closed all connections
+ANSWER_AFTER_PAUSE_S = 0.3  # after a pause, for the answers to be given and to leave
 CROSSING_S = 0.1  # a request may cross the close of a resting connection
 MEASURE_SLACK_S = 0.05  # this program sees bytes a little later than they come
 DISCOVERY_KINDS = (FaultKind.SILENCE_DISCOVERY, FaultKind.RESET_DISCOVERY)
@@ -23,6 +25,7 @@
 DEAF_KINDS = (
     FaultKind.PAUSE,
     FaultKind.FAIL_CALL,
+    FaultKind.INTERRUPT_CALLS,
     FaultKind.SHORTEN_CALL,
     FaultKind.RELOAD,
     FaultKind.KILL,
@@ -99,7 +102,7 @@
         late_s = due_s + ANSWER_SLACK_S + self.slack_s + self._paused(request, request.sent_s, due_s + 5.0)
         name = f"{request.txn} {request.class_name} of {request.coordinator}, sent {request.sent_s:.3f}"
         if not request.answers:
-            if not self._crossed_an_end(request):
+            if not self._excused(request):
                 yield Violation("lost", min(late_s, request.closed_s), f"{name}: no answer")
         elif request.answers[0][0] > late_s:
             yield Violation("lost", request.answers[0][0], f"{name}: an answer after {late_s:.3f}")
@@ -115,12 +118,53 @@
             for span in self.record.held(FaultKind.KILL, request.coordinator)
         )
 
+    def _excused(self, request: RequestRecord) -> bool:
+        """Whether nobody owes it an answer, though it was written and its client stayed."""
+        return (
+            self._crossed_an_end(request)
+            or self._killed_in_a_pause(request)
+            or self._shut_unread(request)
+            or self._connection_failed(request)
+        )
+
+    def _killed_in_a_pause(self, request: RequestRecord) -> bool:
+        """Whether the platform's SIGKILL met a program that was stopped, or had just been."""
+        pauses = self.record.held(FaultKind.PAUSE, request.coordinator)
+        return any(
+            pause.from_s < end.killed_s < pause.to_s + ANSWER_AFTER_PAUSE_S + self.slack_s
+            for end in self.record.planned_ends
+            if end.name == request.coordinator and end.killed_s <= request.closed_s
+            for pause in pauses
+        )
+
+    def _shut_unread(self, request: RequestRecord) -> bool:
+        """Whether its connection was shut unread, as it may be where idle clients fill the room.
+
+        That is a new connection, or a resting one whose close the request has crossed.
+        """
+        crossed = request.closed_s - request.sent_s < CROSSING_S + self.slack_s
+        return self.record.crowded and (request.first or crossed) and not self.attempts[request.txn]
+
+    def _connection_failed(self, request: RequestRecord) -> bool:
+        """Whether a failing send or recv told the coordinator that the client's connection had failed."""
+        return any(
+            each.fault.kind is FaultKind.FAIL_CALL
+            and each.fault.call in CONNECTION_CALLS
+            and each.fault.name == request.coordinator
+            and each.held.from_s <= request.closed_s <= each.held.to_s + CROSSING_S + self.slack_s
+            for each in self.record.injected
+        )
+
     def _crossed_an_end(self, request: RequestRecord) -> bool:
         """Whether it came as a planned end closed its connection, or after the last one was accepted."""
         ending = any(
             span.from_s <= request.closed_s <= span.to_s + 1.0
             for span in self.record.held(FaultKind.TERMINATE, request.coordinator)
         )
+        ending = ending or any(
+            end.name == request.coordinator and end.signalled_s <= request.closed_s <= end.signalled_s + END_S
+            for end in self.record.planned_ends
+        )
         return ending and request.closed_s - request.sent_s < CROSSING_S + self.slack_s
 
     def _attempts_of_nobody(self) -> Iterator[Violation]:
--- a/fordstair/lab/soak/records.py
+++ b/fordstair/lab/soak/records.py
@@ -20,6 +20,7 @@
     answers: list[tuple[float, str]] = field(default_factory=list)  # when, and served, refused, failed, ...
     gone_s: float = math.inf  # when its client cancelled it, or closed its connection
     closed_s: float = math.inf  # when the coordinator ended its connection
+    first: bool = False  # on its connection
 
 
 @dataclass(slots=True)
@@ -73,6 +74,16 @@
     code: int | None
 
 
+@dataclass(slots=True)
+class PlannedEnd:
+    """A coordinator was told to end by SIGTERM, and killed where it had not ended in time."""
+
+    name: str
+    signalled_s: float
+    killed_s: float = math.inf  # inf: it had ended by itself
+    last_event: str = ""  # of its log, where it was killed
+
+
 @dataclass(slots=True)
 class SoakRecord:
     """All that was seen in one run."""
@@ -81,6 +92,8 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     injected: list[InjectedFault] = field(default_factory=list)
     drains: list[Drain] = field(default_factory=list)
+    planned_ends: list[PlannedEnd] = field(default_factory=list)
+    crowded: bool = False  # idle and half-written connections fill the coordinators' descriptors
     ends: list[CoordinatorEnd] = field(default_factory=list)
     log_faults: list[str] = field(default_factory=list)  # lines of logs that no run may show
     worst_lag_s: float = 0.0  # by which the soak itself was late
--- a/fordstair/lab/soak/run.py
+++ b/fordstair/lab/soak/run.py
@@ -6,20 +6,23 @@
 import signal
 import tempfile
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
+from random import Random
 
 import trio
 
 from fordstair.lab.platform_settings import SETTINGS
 from fordstair.lab.soak.clients import Clients
-from fordstair.lab.soak.coordinators import SoakCoordinator
+from fordstair.lab.soak.coordinators import CROWDED_SOCKETS, SoakCoordinator
+from fordstair.lab.soak.crowd import Crowd
 from fordstair.lab.soak.discovery import DRAINING, READY, DiscoveryStandIn
 from fordstair.lab.soak.engines import WatchedEngine
 from fordstair.lab.soak.oracle import Oracle, Violation
-from fordstair.lab.soak.plan import Fault, FaultKind, draw_faults
-from fordstair.lab.soak.records import Drain, InjectedFault, SoakRecord, Span
+from fordstair.lab.soak.plan import Fault, FaultKind, TimedSignal, draw_faults
+from fordstair.lab.soak.records import Drain, InjectedFault, PlannedEnd, SoakRecord, Span
 
 MAX_LAG_S = 0.5  # a run that was itself later than that judges nothing
 WATCH_INTERVAL_S = 0.05
@@ -37,6 +40,7 @@
     engines: int = 6
     faults_per_s: float = 6.0
     rate_per_s: float = 6.0  # requests to one coordinator
+    crowd: int = 0  # idle and half-written connections to one coordinator
 
 
 @dataclass(slots=True)
@@ -53,12 +57,25 @@
         """How requests ended."""
         return Counter(each.answers[0][1] if each.answers else "no answer" for each in self.record.requests)
 
+    @property
+    def running_at_kill(self) -> list[PlannedEnd]:
+        """The planned ends that came by SIGKILL."""
+        return [end for end in self.record.planned_ends if end.killed_s < math.inf]
+
+    def _killed_line(self, end: PlannedEnd) -> str:
+        """Return what is known of a program that SIGKILL met: for how long it was stopped before, its log."""
+        pauses = self.record.held(FaultKind.PAUSE, end.name)
+        paused_s = sum(pause.overlap(end.signalled_s, end.killed_s) for pause in pauses)
+        return f"  {end.name} killed at {end.killed_s:.2f}, paused for {paused_s:.2f} s: {end.last_event}"
+
     def __str__(self) -> str:
         kinds = Counter(each.fault.kind.value for each in self.record.injected)
         lines = [
             f"seed {self.plan.seed}: {len(self.record.requests)} requests {dict(self.answers)}, "
             f"{len(self.record.attempts)} attempts, worst lag {self.record.worst_lag_s * 1e3:.0f} ms",
             f"  faults {dict(kinds)}",
+            f"  {len(self.record.planned_ends)} planned ends, of them {len(self.running_at_kill)} by SIGKILL",
+            *(self._killed_line(end) for end in self.running_at_kill),
         ]
         if self.violations:
             lines += [f"  fault {fault}" for fault in self.faults]
@@ -80,6 +97,7 @@
         self._channel = 0  # which of discovery's ports is told
         self._starts = trio.CapacityLimiter(2)  # at a time: they would slow each other down
         self._restarting: set[str] = set()
+        self._random = Random(plan.seed)
 
     def now_s(self) -> float:
         """Return the time of the run."""
@@ -115,9 +133,12 @@
 
     async def _start_coordinators(self, names: list[str]) -> None:
         settings = SETTINGS | {"instances": len(names)}
+        self.record.crowded = self.plan.crowd > 0
         async with trio.open_nursery() as nursery:
             for port, name in enumerate(names, FIRST_PORT):
                 self.coordinators[name] = SoakCoordinator(name, port, self.folder, settings, self.record)
+                if self.plan.crowd:
+                    self.coordinators[name].sockets = CROWDED_SOCKETS
                 nursery.start_soon(self._start, self.coordinators[name])
 
     async def _start(self, coordinator: SoakCoordinator) -> None:
@@ -129,6 +150,13 @@
 
     async def _play(self, faults: list[Fault]) -> None:
         """Send traffic and inject faults; return once the last request has ended."""
+        async with trio.open_nursery() as crowds:
+            for coordinator in self.coordinators.values():
+                crowds.start_soon(Crowd(coordinator, self.plan.crowd, self.plan.seed).run)
+            await self._send_and_inject(faults)
+            crowds.cancel_scope.cancel()
+
+    async def _send_and_inject(self, faults: list[Fault]) -> None:
         async with trio.open_nursery() as nursery:
             for number, coordinator in enumerate(self.coordinators.values()):
                 clients = Clients(
@@ -148,7 +176,10 @@
         async with trio.open_nursery() as nursery:
             for coordinator in self.coordinators.values():
                 coordinator.signal(signal.SIGCONT)
-                nursery.start_soon(coordinator.terminate)
+                nursery.start_soon(self._end, coordinator, (TimedSignal(0.0, "SIGTERM"),))
+
+    async def _end(self, coordinator: SoakCoordinator, series: Sequence[TimedSignal]) -> None:
+        await coordinator.terminate(series, self.start_s, self._random)
 
     async def _watch(self) -> None:
         """Look for ends that nobody wanted, and for how late this program is itself."""
@@ -168,6 +199,7 @@
             FaultKind.STEP_CLOCK: self._shim_fault,
             FaultKind.FAIL_CALL: self._shim_fault,
             FaultKind.SHORTEN_CALL: self._shim_fault,
+            FaultKind.INTERRUPT_CALLS: self._shim_fault,
             FaultKind.PAUSE: self._pause,
             FaultKind.KILL: self._kill,
             FaultKind.TERMINATE: self._terminate,
@@ -194,7 +226,7 @@
         await self._restart(fault, self.coordinators[fault.name].kill)
 
     async def _terminate(self, fault: Fault) -> None:
-        await self._restart(fault, self.coordinators[fault.name].terminate)
+        await self._restart(fault, partial(self._end, self.coordinators[fault.name], fault.signals))
 
     async def _restart(self, fault: Fault, end: Callable[[], Awaitable[None]]) -> None:
         coordinator = self.coordinators[fault.name]
@@ -203,9 +235,20 @@
         self._restarting.add(coordinator.name)
         await end()
         await trio.sleep(fault.lasts_s)
-        await self._start(coordinator)
+        await self._start_under_signals(coordinator, fault.start_signals)
         self._restarting.discard(coordinator.name)
 
+    async def _start_under_signals(
+        self, coordinator: SoakCoordinator, signals: Sequence[TimedSignal]
+    ) -> None:
+        """Start a coordinator; one that signals end meanwhile is started again."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._start, coordinator)
+            await coordinator.wait_begun()
+            ended = await coordinator.signal_start(signals, self.start_s, self._random)
+        if ended:
+            await self._start(coordinator)
+
     async def _reload(self, fault: Fault) -> None:
         self._channel = 1 - self._channel
         coordinator = self.coordinators[fault.name]
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -124,6 +124,24 @@
     play(scene)
 
 
+def test_a_pause_that_begins_before_sigkill_and_lasts_over_it_costs_no_answer() -> None:
+    # Guards against answers given so shortly before SIGKILL that a pause of the program takes them along.
+    async def scene() -> None:
+        async with engine(never) as one, program(config(one.address)) as node:
+            client = await node.client()
+            number = await client.ask("meter-load", limit="20000")
+            await until(lambda: one.posts)
+            start = time.monotonic()
+            os.kill(node.process.pid, signal.SIGTERM)
+            await trio.sleep(KILL_AFTER_S - 0.4)
+            os.kill(node.process.pid, signal.SIGSTOP)
+            with trio.fail_after(KILL_AFTER_S - (time.monotonic() - start)):
+                error, _ = await client.answer(number)
+            assert error[0] == "Internal"
+
+    play(scene)
+
+
 def test_a_signal_that_came_in_a_pause_is_dated_before_it_and_one_to_a_running_program_is_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
     CoordinatorEnd,
     Drain,
     InjectedFault,
+    PlannedEnd,
     RequestRecord,
     SoakRecord,
     Span,
@@ -53,6 +54,24 @@
     return record
 
 
+def told_to_end(record: SoakRecord, at_s: float, killed_s: float = math.inf) -> SoakRecord:
+    record.planned_ends.append(PlannedEnd("n0", at_s, killed_s))
+    return record
+
+
+def with_failing_call(record: SoakRecord, call: str, from_s: float, to_s: float) -> SoakRecord:
+    fault = Fault(from_s, to_s - from_s, FaultKind.FAIL_CALL, "n0", call=call, errno="ECONNRESET")
+    record.injected.append(InjectedFault(fault, Span(from_s, to_s)))
+    return record
+
+
+def crowded(record: SoakRecord, *, attempted: bool) -> SoakRecord:
+    record.crowded = True
+    if not attempted:
+        record.attempts.clear()
+    return record
+
+
 def ended(record: SoakRecord) -> SoakRecord:
     record.ends.append(CoordinatorEnd("n0", 2.0, False, 1))
     return record
@@ -81,6 +100,33 @@
         (lambda: with_drain(served(), 0.9), []),
         (lambda: with_fault(with_drain(served(), 0.3), FaultKind.SILENCE_DISCOVERY, 0.0, 0.9), []),
         (lambda: ended(served()), ["crash"]),
+        # A planned end: what is open at SIGKILL is lost, unless the program could not have run.
+        (lambda: told_to_end(served(answers=[], closed_s=4.2), 0.5, 4.2), ["lost"]),
+        (lambda: told_to_end(served(answers=[(4.1, "refused")], closed_s=4.2), 0.5, 4.2), []),
+        (lambda: told_to_end(served(answers=[], closed_s=1.05), 0.5), []),  # it crossed the close
+        (lambda: told_to_end(served(answers=[], closed_s=1.3), 0.5), ["lost"]),
+        (
+            lambda: with_fault(
+                told_to_end(served(answers=[], closed_s=4.2), 0.5, 4.2), FaultKind.PAUSE, 2.0, 4.0
+            ),
+            [],
+        ),
+        (
+            lambda: with_fault(
+                told_to_end(served(answers=[], closed_s=4.2), 0.5, 4.2), FaultKind.PAUSE, 2.0, 3.7
+            ),
+            ["lost"],
+        ),
+        # A client's connection that a failing call has ended, and one that it has not.
+        (lambda: with_failing_call(served(answers=[], closed_s=1.5), "recv", 1.4, 1.6), []),
+        (lambda: with_failing_call(served(answers=[], closed_s=2.0), "recv", 1.4, 1.6), ["lost"]),
+        (lambda: with_failing_call(served(answers=[], closed_s=1.5), "connect", 1.4, 1.6), ["lost"]),
+        # Where a crowd fills the room, a new connection may be shut unread; what was sent on was read.
+        (lambda: crowded(served(answers=[], closed_s=1.1, first=True), attempted=False), []),
+        (lambda: crowded(served(answers=[], closed_s=1.1, first=True), attempted=True), ["lost"]),
+        (lambda: crowded(served(answers=[], closed_s=1.05), attempted=False), []),  # it crossed the close
+        (lambda: crowded(served(answers=[], closed_s=1.05), attempted=True), ["lost"]),
+        (lambda: crowded(served(answers=[], closed_s=1.3), attempted=False), ["lost"]),
     ],
 )
 def test_the_oracle_finds_each_broken_rule_and_no_other(
@@ -97,6 +143,31 @@
     assert all(0.0 < fault.at_s < 200.0 and math.isfinite(fault.lasts_s) for fault in one)
 
 
+def test_each_planned_end_is_a_series_with_one_first_sigterm_and_each_pause_has_its_end() -> None:
+    faults = draw_faults(5, 400.0, 5.0, ["n0"], ["s-1"])
+    series = [fault.signals for fault in faults if fault.kind is FaultKind.TERMINATE]
+    for signals in series:
+        assert min(each.at_s for each in signals if each.name == "SIGTERM") == 0.0
+        names = [each.name for each in signals]
+        assert names.count("SIGSTOP") == names.count("SIGCONT") <= 1
+        assert [each.at_s for each in signals] == sorted(each.at_s for each in signals)
+    assert {each.name for signals in series for each in signals} == {
+        "SIGTERM",
+        "SIGHUP",
+        "SIGUSR1",
+        "SIGSTOP",
+        "SIGCONT",
+    }
+    assert any(fault.start_signals for fault in faults)
+
+
+def test_a_crowd_of_idle_connections_breaks_no_rule() -> None:
+    report = soak(Plan(seed=5, seconds=6.0, coordinators=4, faults_per_s=2.0, crowd=200))
+    assert report.record.worst_lag_s < MAX_LAG_S, "the machine is too busy to judge"
+    assert not report.violations, str(report)
+    assert report.answers["served"] > 50
+
+
 def test_ten_coordinators_break_no_rule_under_overlapping_faults() -> None:
     report = soak(Plan(seed=1, seconds=8.0, coordinators=10, faults_per_s=4.0, rate_per_s=5.0))
     assert report.record.worst_lag_s < MAX_LAG_S, "the machine is too busy to judge"
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -140,6 +140,19 @@
     trio.run(scene)
 
 
+def test_a_request_after_a_quiet_time_has_its_whole_limit() -> None:
+    # Guards against a wait with nothing to do that counts as a pause of the program.
+    async def scene() -> None:
+        async with engine() as one, program(config(one.address)) as node:
+            client = await node.client()
+            for _ in range(2):
+                await trio.sleep(1.5)  # the program rests: that is what is tested
+                assert await client.answer(await client.ask(limit="3000"), 4.0) == (None, ROWS)
+                assert limit_told(one, -1) > 2_800.0
+
+    trio.run(scene)
+
+
 def test_a_reset_that_comes_late_does_not_show_that_the_engine_has_read_the_post() -> None:
     """It may start the query yet: a further attempt would run beside it (soak, seed 9)."""
 
