Turn two circles of imports into one direction, and give shared logic one place

Change: RpcReply and the OData router and connection know protocols (ReplyingConnection, ODataServices) in place of the classes that import them. Operator lies in configuration/operator_options.py. EngineTracker.connect_failed sets unreachable_at for both callers; EngineAssessment.is_reliable, read by nobody, is gone; an attempt's log fields are built in one function. No behaviour is meant to change.

--- a/fordstair/configuration/operator_file.py
+++ b/fordstair/configuration/operator_file.py
@@ -9,13 +9,14 @@
 
 from fordstair.configuration.errors import ConfigError, ConfigurationProblem, InvalidOperatorFileError
 from fordstair.configuration.operator_fleet_schema import WholeTable
+from fordstair.configuration.operator_options import Operator
 from fordstair.configuration.operator_schema import ClassTable, EngineTable, File, SetTable, member_of
 from fordstair.configuration.operator_validation import validate_operator_file
 from fordstair.configuration.platform import AdmissionQueueSettings, Config, address
 from fordstair.core.ports import Engine
 from fordstair.decisions.engine_list import EngineEntry, ListUpdateKind
 from fordstair.decisions.settings import Idempotency, RequestClass, Settings, Tenant
-from fordstair.net.clients.odata_model import EntitySet, Operator
+from fordstair.net.clients.odata_model import EntitySet
 from fordstair.net.engine_list_wire import EngineListEvent
 
 if TYPE_CHECKING:
--- a/fordstair/core/attempt_executor.py
+++ b/fordstair/core/attempt_executor.py
@@ -193,14 +193,8 @@
             watch.attempt_sent(attempt.live.id)
         if attempt.number:
             self._counters.add(f"retried.{query.class_name}")
-            log.info(
-                "attempt.retried",
-                txn=query.transaction_id,
-                class_name=query.class_name,
-                attempt=attempt.number,
-                engine=attempt.engine_id,
-                left_ms=round(attempt.live.deadline_ms - self._deadlines.clock()),
-            )
+            left_ms = round(attempt.live.deadline_ms - self._deadlines.clock())
+            log.info("attempt.retried", **_log_fields(attempt), left_ms=left_ms)
 
     def _record_end(self, attempt: Attempt, outcome: AttemptOutcome, took_ms: float) -> None:
         query, status = attempt.live.query, outcome.status
@@ -213,10 +207,7 @@
         if status is not Status.OK:
             log.info(
                 "attempt.ended",
-                txn=query.transaction_id,
-                class_name=query.class_name,
-                attempt=attempt.number,
-                engine=attempt.engine_id,
+                **_log_fields(attempt),
                 status=status.value,
                 not_run=status.proves_not_run,
                 may_still_run=outcome.may_still_run,
@@ -225,6 +216,17 @@
             )
 
 
+def _log_fields(attempt: Attempt) -> dict[str, str | int]:
+    """Return the fields by which a log tells attempts apart."""
+    query = attempt.live.query
+    return {
+        "txn": query.transaction_id,
+        "class_name": query.class_name,
+        "attempt": attempt.number,
+        "engine": attempt.engine_id,
+    }
+
+
 def _check_size(pages: list[bytes]) -> None:
     """Raise AttemptFailedError for a result that is too large, so that none fills the memory."""
     if sum(map(len, pages)) > LARGEST_RESULT_BYTES:
--- a/fordstair/decisions/engine_tracker.py
+++ b/fordstair/decisions/engine_tracker.py
@@ -9,7 +9,7 @@
 from fordstair.decisions.engine_list import EngineId, EngineState, ListUpdateKind
 from fordstair.decisions.events import EngineListChanged, Status
 from fordstair.decisions.load_estimation import LoadEstimator
-from fordstair.decisions.outlier_detection import BELIEVABLE_RELIABILITY, OutlierDetector
+from fordstair.decisions.outlier_detection import OutlierDetector
 from fordstair.decisions.settings import Settings
 from fordstair.decisions.slow_start import SlowStart
 from fordstair.decisions.tracked_engine import TrackedEngine
@@ -24,7 +24,6 @@
     own_threads: int  # of these
     threads_per_core: float  # own ones in flight and others', as last reported
     reliability: float  # 1 without faults and silence, towards 0 with them
-    is_reliable: bool  # whether the reliability reaches BELIEVABLE_RELIABILITY
     warm_up_factor: float  # a lower bound on the share of its full capacity that it has
     silence_score: float
     heard_at: float  # last sign of work done
@@ -73,9 +72,13 @@
         hardly more than that a process runs.
         """
         if status is Status.CONNECT_FAILED:
-            engine.unreachable_at = now
+            self.connect_failed(now, engine)
         return status is not Status.OK and self._outliers.record_silence(engine)
 
+    def connect_failed(self, now: float, engine: TrackedEngine) -> None:
+        """Note that an engine took no connection: what answers there next may have just started."""
+        engine.unreachable_at = now
+
     def load_reported(self, now: float, engine: TrackedEngine, values: Sequence[float]) -> bool:
         """Take a load report in; return whether it ejects the engine, which is idle without reason."""
         report = self._load.read_report(now, engine, values)
@@ -103,7 +106,6 @@
             own_threads=seen.own_threads,
             threads_per_core=self._load.threads_per_core(now, seen),
             reliability=reliability,
-            is_reliable=reliability >= BELIEVABLE_RELIABILITY,
             warm_up_factor=self._slow_start.warm_up_factor(now, seen),
             silence_score=seen.silence_score,
             heard_at=seen.heard_at,
--- a/fordstair/decisions/gateway.py
+++ b/fordstair/decisions/gateway.py
@@ -334,7 +334,7 @@
         if engine is None:
             return
         if event.status is Status.CONNECT_FAILED and not event.may_connect_late:
-            engine.unreachable_at = self.now
+            self.tracker.connect_failed(self.now, engine)
         self._retry_silent_attempts_if(self.tracker.load_reported(self.now, engine, event.report), engine)
 
     @staticmethod
--- a/fordstair/entry_point.py
+++ b/fordstair/entry_point.py
@@ -16,7 +16,7 @@
 from fordstair.runtime.event_log import PlainFormatter
 
 if TYPE_CHECKING:
-    from fordstair.net.clients.odata_model import Operator
+    from fordstair.configuration.operator_options import Operator
 
 EXIT_OK = 0
 EXIT_BAD_CONFIGURATION = 2
--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -1,9 +1,7 @@
-"""One HTTP/1.1 connection to the OData front."""
+"""One HTTP/1.1 connection to the OData services."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import h11
 import trio
 
@@ -16,12 +14,10 @@
 from fordstair.net.clients.odata_errors import ODataError
 from fordstair.net.clients.odata_messages import ODataRequest, Response, error_response
 from fordstair.net.clients.odata_router import ODataRouter
+from fordstair.net.clients.odata_services import ODataServices
 from fordstair.net.clients.odata_statements import StatementRunner
 from fordstair.net.clients.read_delay import ReadDelay
 
-if TYPE_CHECKING:
-    from fordstair.net.clients.odata_front import ODataFront
-
 READ_BYTES = 65_536
 _NO_CONTENT = 204
 
@@ -29,26 +25,26 @@
 class ODataConnection:
     """Answers one request after the other."""
 
-    def __init__(self, front: ODataFront, stream: trio.abc.Stream, read_delay: ReadDelay) -> None:
-        self._front = front
+    def __init__(self, services: ODataServices, stream: trio.abc.Stream, read_delay: ReadDelay) -> None:
+        self._services = services
         self._stream = stream
-        self._coordinator = front.coordinator
-        self._deadlines = front.coordinator.deadlines
+        self._coordinator = services.coordinator
+        self._deadlines = services.coordinator.deadlines
         self._http = h11.Connection(h11.SERVER)
         self._read_delay = read_delay
         self._received_ms = self._deadlines.clock()  # when bytes were read last
         self._has_requested = False  # it has sent a complete request
-        self._statements = StatementRunner(front.coordinator)
-        self._router = ODataRouter(front, stream, self._statements)
+        self._statements = StatementRunner(services.coordinator)
+        self._router = ODataRouter(services, stream, self._statements)
 
     async def run(self) -> None:
         """Answer requests until the connection ends."""
         while (request := await self._next_request()) is not None:
-            self._front.open_requests += 1
+            self._services.open_requests += 1
             try:
                 await self._answer(request)
             finally:
-                self._front.open_requests -= 1
+                self._services.open_requests -= 1
             if self._statements.disconnected or not self._may_reuse:
                 return
             self._http.start_next_cycle()
--- a/fordstair/net/clients/odata_front.py
+++ b/fordstair/net/clients/odata_front.py
@@ -7,10 +7,10 @@
 
 import trio
 
+from fordstair.configuration.operator_options import Operator
 from fordstair.core.coordinator import Coordinator
 from fordstair.net.clients.closing import linger
 from fordstair.net.clients.odata_connection import ODataConnection
-from fordstair.net.clients.odata_model import Operator
 from fordstair.net.clients.odata_results import StoredResults
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.read_delay import ReadDelay
--- a/fordstair/net/clients/odata_reads.py
+++ b/fordstair/net/clients/odata_reads.py
@@ -5,9 +5,10 @@
 from collections.abc import Mapping
 from typing import Any
 
+from fordstair.configuration.operator_options import Operator
 from fordstair.net.clients.odata_errors import ODataError
 from fordstair.net.clients.odata_messages import Response, encode_json
-from fordstair.net.clients.odata_model import EntitySet, Operator
+from fordstair.net.clients.odata_model import EntitySet
 from fordstair.net.clients.odata_preferences import Preferences
 from fordstair.net.clients.odata_results import PagePosition, Result, StoredResults
 from fordstair.net.clients.odata_sql import ReadQuery, parse_read, read_resource
--- a/fordstair/net/clients/odata_router.py
+++ b/fordstair/net/clients/odata_router.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Mapping
 from functools import partial
-from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl, urlsplit
 
 import trio
@@ -16,11 +15,9 @@
 from fordstair.net.clients.odata_metadata import metadata_document, service_document
 from fordstair.net.clients.odata_preferences import Preferences
 from fordstair.net.clients.odata_reads import Reads
+from fordstair.net.clients.odata_services import ODataServices
 from fordstair.net.clients.odata_statements import StatementRunner
 
-if TYPE_CHECKING:
-    from fordstair.net.clients.odata_front import ODataFront
-
 _SERVICE_DOCUMENT = ""
 _METADATA = "$metadata"
 _BATCH = "$batch"
@@ -30,14 +27,14 @@
 class ODataRouter:
     """Answers the requests of one connection."""
 
-    def __init__(self, front: ODataFront, stream: trio.abc.Stream, statements: StatementRunner) -> None:
-        self._operator = front.operator
-        self._tenants = front.coordinator.tenants
-        self._team_header = front.operator.team_header.lower()
-        self._team_of_peer = partial(front.team_of, stream)  # returns None for one without an identity
-        self._reads = Reads(front.operator, front.results, statements)
+    def __init__(self, services: ODataServices, stream: trio.abc.Stream, statements: StatementRunner) -> None:
+        self._operator = services.operator
+        self._tenants = services.coordinator.tenants
+        self._team_header = services.operator.team_header.lower()
+        self._team_of_peer = partial(services.team_of, stream)  # returns None for one without an identity
+        self._reads = Reads(services.operator, services.results, statements)
         self._loads = Loads(
-            front.operator.root, front.operator.entity_sets, front.idempotency_store, statements
+            services.operator.root, services.operator.entity_sets, services.idempotency_store, statements
         )
         self._batches = Batches(("prefer", self._team_header), self.respond, statements)
 
--- a/fordstair/net/clients/rpc_reply.py
+++ b/fordstair/net/clients/rpc_reply.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from fordstair.net.clients import rpc_wire
 
-if TYPE_CHECKING:
-    from fordstair.net.clients.rpc_connection import RpcConnection
+
+class ReplyingConnection(Protocol):
+    """The connection on which a request came."""
+
+    async def drain_input(self) -> None:
+        """Wait until what the client has written by now is read."""
+
+    def finish(self, number: int, response: bytes) -> None:
+        """Queue the one final response of a request."""
 
 
 class RpcReply:
     """Answers one request."""
 
-    def __init__(self, connection: RpcConnection, number: int) -> None:
+    def __init__(self, connection: ReplyingConnection, number: int) -> None:
         self._connection = connection
         self._number = number
 
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -44,8 +44,8 @@
 from fordstair.runtime.event_log import EventLog
 
 if TYPE_CHECKING:
+    from fordstair.configuration.operator_options import Operator
     from fordstair.net.clients.odata_front import ODataFront
-    from fordstair.net.clients.odata_model import Operator
     from fordstair.replication.service import ReplicationService
 
 log = EventLog("fordstair")
--- a/fordstair/program/optional_parts.py
+++ b/fordstair/program/optional_parts.py
@@ -19,10 +19,10 @@
 if TYPE_CHECKING:
     from fordstair.budgets.plan import FleetBudgetsConfig
     from fordstair.budgets.transport import FleetBudgets
+    from fordstair.configuration.operator_options import Operator
     from fordstair.core.admission_queue import AdmissionQueue
     from fordstair.membership.transport import Membership
     from fordstair.net.clients.odata_front import ODataFront
-    from fordstair.net.clients.odata_model import Operator
     from fordstair.net.clients.poll_watch import PollWatch
     from fordstair.net.console_server import ConsoleServer
     from fordstair.net.identity import Identity
