--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -122,6 +122,21 @@
         Raise ConfigError where an address or path of the configuration cannot be used.
         """
         self.intake.from_configuration(self.config.known)
+        async with trio.open_nursery() as nursery:
+            scope = trio.CancelScope(shield=True)
+            nursery.start_soon(self._run_deadlines, scope)
+            try:
+                await self._run_parts()
+            finally:
+                scope.cancel()
+        log.info("counters", **self.counters.snapshot())
+
+    async def _run_deadlines(self, scope: trio.CancelScope) -> None:
+        """Sweep deadlines until the scope is cancelled: the last tasks to end are bounded by them as well."""
+        with scope:
+            await self.deadlines.run()
+
+    async def _run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
             await self._start_core(nursery)
             await self._start_optional_parts(nursery)
@@ -135,7 +150,6 @@
             if self.budgets is not None:
                 await self.budgets.leave()
             nursery.cancel_scope.cancel()
-        log.info("counters", **self.counters.snapshot())
 
     def reload(self) -> None:
         """Read the configuration anew, check all of it, and apply what can change; a bad one changes none."""
@@ -194,7 +208,6 @@
 
     async def _start_core(self, nursery: trio.Nursery) -> None:
         await nursery.start(self._handle_signals)
-        nursery.start_soon(self.deadlines.run)
         nursery.start_soon(self._watch_clock)
         nursery.start_soon(self.poll_watch.run)
         await nursery.start(self.pool.run)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -21,7 +21,18 @@
 from fordstair.program.signal_arrivals import noting_arrivals
 from fordstair.runtime.clock import monotonic_now
 from tests.scenes import ROWS, Endless, ends, hold_reads, play, until
-from tests.standins import SETTINGS, Client, config, connect, engine, inside, never, program
+from tests.standins import (
+    SETTINGS,
+    Answered,
+    Client,
+    RestEngine,
+    config,
+    connect,
+    engine,
+    inside,
+    never,
+    program,
+)
 
 
 def test_sigterm_answers_what_is_open_and_takes_more_for_a_while() -> None:
@@ -124,6 +135,31 @@
     play(scene)
 
 
+async def reads_and_hangs(
+    one: RestEngine, method: str, path: str, headers: dict[str, str], body: bytes
+) -> Answered | None:
+    """Answer nothing, neither a POST nor the DELETE after it."""
+    await trio.sleep_forever()
+    return None
+
+
+@pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGINT])
+def test_a_program_ends_though_an_engine_answers_nothing(end: signal.Signals) -> None:
+    # Guards against a bounded wait of the last tasks whose deadline nobody sweeps any more.
+    async def scene() -> None:
+        async with engine(reads_and_hangs) as one, program(config(one.address)) as node:
+            client = await node.client()
+            number = await client.ask("meter-load", limit="20000")
+            await until(lambda: one.posts)
+            node.process.send_signal(end)
+            error, _ = await client.answer(number)
+            assert error[0] == "Internal"
+            with trio.fail_after(3.0):
+                assert await node.process.wait() == 0
+
+    play(scene)
+
+
 def test_a_pause_that_begins_before_sigkill_and_lasts_over_it_costs_no_answer() -> None:
     # Guards against answers given so shortly before SIGKILL that a pause of the program takes them along.
     async def scene() -> None:
