--- a/fordstair/lab/soak/oracle.py
+++ b/fordstair/lab/soak/oracle.py
@@ -11,7 +11,7 @@
 from fordstair.lab.soak.plan import CONNECTION_CALLS, FaultKind
 from fordstair.lab.soak.records import AttemptRecord, RequestRecord, SoakRecord
 
-UNSAFE_LANE = "meter-load"
+UNSAFE_CLASS = "meter-load"
 ANSWER_SLACK_S = 0.5  # after its time an answer earns nothing; later than that it is lost
 GONE_SLACK_S = 0.1  # after a client has gone an attempt may still begin
 LIMIT_SLACK_MS = 150.0  # by which a deadline told to an engine may exceed what the client has left
@@ -74,7 +74,7 @@
         for txn, attempts in self.attempts.items():
             request = self.requests.get(txn)
             ran = [each for each in attempts if each.how != "refused"]
-            if request is not None and request.class_name == UNSAFE_LANE and len(ran) > 1:
+            if request is not None and request.class_name == UNSAFE_CLASS and len(ran) > 1:
                 engines = ", ".join(f"{each.engine} {each.read_s:.3f} {each.how}" for each in ran)
                 yield Violation("duplicate", ran[1].read_s, f"{txn} of {request.coordinator}: {engines}")
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -55,6 +55,17 @@
     play(scene)
 
 
+async def submit_endless(one: Coordination, nursery: trio.Nursery) -> PendingReply:
+    """Start a program's core with a request whose attempt never ends."""
+    nursery.start_soon(one.deadlines.run)
+    await nursery.start(one.coordinator.run)
+    reply = PendingReply()
+    one.coordinator.update_engines(ListUpdateKind.FULL, [Engine(EngineEntry("s-1"), "10.0.0.1:1")])
+    one.transports["rest"] = Endless()
+    one.coordinator.submit(Query("0" * 16, "settlement", 1, 0, 25_000.0, b""), reply)
+    return reply
+
+
 @pytest.mark.parametrize(("longest_ms", "least_s", "most_s"), [(25_000, 2.9, 3.7), (1_200, 1.2, 1.9)])
 def test_a_drain_ends_before_the_platform_kills(longest_ms: int, least_s: float, most_s: float) -> None:
     """SIGKILL comes after the longest deadline, at most 3 s, and 0.7 s more."""
@@ -67,12 +78,7 @@
         one, clock = Coordination(parse(told), None, lambda: parse(told)), trio.current_time
         one.deadlines.clock = lambda: clock() * 1_000.0
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(one.deadlines.run)
-            await nursery.start(one.coordinator.run)
-            reply = PendingReply()
-            one.coordinator.update_engines(ListUpdateKind.FULL, [Engine(EngineEntry("s-1"), "10.0.0.1:1")])
-            one.transports["rest"] = Endless()
-            one.coordinator.submit(Query("0" * 16, "settlement", 1, 0, 25_000.0, b""), reply)
+            reply = await submit_endless(one, nursery)
             start = clock()
             await one.shutdown.drain([])
             assert least_s < clock() - start < most_s
@@ -89,12 +95,7 @@
         one, clock = Coordination(parse(told), None, lambda: parse(told)), trio.current_time
         one.deadlines.clock = lambda: clock() * 1_000.0
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(one.deadlines.run)
-            await nursery.start(one.coordinator.run)
-            reply = PendingReply()
-            one.coordinator.update_engines(ListUpdateKind.FULL, [Engine(EngineEntry("s-1"), "10.0.0.1:1")])
-            one.transports["rest"] = Endless()
-            one.coordinator.submit(Query("0" * 16, "settlement", 1, 0, 25_000.0, b""), reply)
+            reply = await submit_endless(one, nursery)
             await wait_all_tasks_blocked()
             await one.shutdown.drain([], one.deadlines.clock() - 3_600.0)
             assert reply.retry_after_ms is not None
