Fix clients reset at the end of a drain: accept the whole backlog, and count who was accepted

Callers: a client that had connected in time could be reset with its request unanswered where the program was busy.

Cause: the drain closed its listeners 500 ms after the last moment for new clients, whatever waited there; and it took all clients for done while one that was just accepted had not come to its front. Change: the backlog is accepted until it is empty or the last answers are due; the listener counts open connections. Why it works: a listener is closed only over an empty backlog, and the flush waits for whoever was accepted.

--- a/fordstair/net/clients/listener.py
+++ b/fordstair/net/clients/listener.py
@@ -51,6 +51,7 @@
         self._poll_watch = poll_watch
         self._deadlines = deadlines
         self._counters = counters
+        self.open_connections = 0  # accepted here, and not closed yet
         self._failing_since_ms: float | None = None  # accept has failed, and some may wait since then
 
     async def run(self, clients: trio.Nursery) -> None:
@@ -67,6 +68,7 @@
                     await self._deadlines.sleep(backoff.next_ms())
                     continue
                 backoff = Backoff()
+                self.open_connections += 1
                 clients.start_soon(self._handle, trio.SocketStream(sock), self._accept_delay_ms())
 
     def _note_failure(self, error: OSError) -> None:
@@ -89,4 +91,5 @@
         try:
             await self._serve(stream, accept_delay_ms)
         finally:
+            self.open_connections -= 1
             await trio.aclose_forcefully(stream)
--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -26,7 +26,6 @@
     """Answers one request after the other."""
 
     def __init__(self, services: ODataServices, stream: trio.abc.Stream, read_delay: ReadDelay) -> None:
-        self._services = services
         self._stream = stream
         self._coordinator = services.coordinator
         self._deadlines = services.coordinator.deadlines
@@ -40,11 +39,7 @@
     async def run(self) -> None:
         """Answer requests until the connection ends."""
         while (request := await self._next_request()) is not None:
-            self._services.open_requests += 1
-            try:
-                await self._answer(request)
-            finally:
-                self._services.open_requests -= 1
+            await self._answer(request)
             if self._statements.disconnected or not self._may_reuse:
                 return
             self._http.start_next_cycle()
--- a/fordstair/net/clients/odata_front.py
+++ b/fordstair/net/clients/odata_front.py
@@ -39,12 +39,6 @@
         self.idempotency_store: IdempotencyStore = LocalIdempotencyStore(coordinator)
         self.team_of = team_of
         self.connections = 0
-        self.open_requests = 0
-
-    @property
-    def idle(self) -> bool:
-        """Whether no request is being worked on."""
-        return not self.open_requests
 
     async def serve(
         self, stream: trio.abc.Stream, transport: trio.SocketStream, accept_delay_ms: float = 0.0
--- a/fordstair/net/clients/odata_services.py
+++ b/fordstair/net/clients/odata_services.py
@@ -20,7 +20,6 @@
     operator: Operator
     results: StoredResults
     idempotency_store: IdempotencyStore
-    open_requests: int  # that are being worked on, at all connections
 
     @property
     def team_of(self) -> Callable[[trio.abc.Stream], str | None]:
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -106,9 +106,7 @@
             config.channel, config.cursor, self.intake.from_discovery, self.deadlines, self.counters
         )
         self.acceptor = FrontAcceptor(config.name, self.poll_watch, self.deadlines, self.counters)
-        self.shutdown = GracefulShutdown(
-            self.coordinator, self.deadlines, self.listeners, self.rpc, self.odata
-        )
+        self.shutdown = GracefulShutdown(self.coordinator, self.deadlines, self.acceptor, self.rpc)
         self._apply_limits()
 
     @property
--- a/fordstair/program/fronts.py
+++ b/fordstair/program/fronts.py
@@ -21,11 +21,17 @@
         self, program_name: str, poll_watch: PollWatch, deadlines: Deadlines, counters: Counters
     ) -> None:
         self.listeners: list[trio.SocketListener] = []
+        self._client_listeners: list[ClientListener] = []
         self._program_name = program_name
         self._poll_watch = poll_watch
         self._deadlines = deadlines
         self._counters = counters
 
+    @property
+    def open_connections(self) -> int:
+        """How many clients' connections are open, those included that no front has begun to serve yet."""
+        return sum(each.open_connections for each in self._client_listeners)
+
     async def run(self, front: str, address: tuple[str, int], serve: Serve, scope: trio.CancelScope) -> None:
         """Accept clients until the scope is cancelled; their connections outlive it.
 
@@ -48,4 +54,6 @@
             raise ConfigError(f"{front}: {host}:{port}: {error}") from None
 
     def _client_listener(self, opened: trio.SocketListener, serve: Serve) -> ClientListener:
-        return ClientListener(opened.socket, serve, self._poll_watch, self._deadlines, self._counters)
+        listener = ClientListener(opened.socket, serve, self._poll_watch, self._deadlines, self._counters)
+        self._client_listeners.append(listener)
+        return listener
--- a/fordstair/program/graceful_shutdown.py
+++ b/fordstair/program/graceful_shutdown.py
@@ -7,19 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
 import trio
 
 from fordstair.core.coordinator import Coordinator
 from fordstair.net.clients.rpc_front import RpcFront
+from fordstair.program.fronts import FrontAcceptor
 from fordstair.runtime.deadlines import Deadlines
 
-if TYPE_CHECKING:
-    from fordstair.net.clients.odata_front import ODataFront
-
 ACCEPT_MS = 700.0  # new connections and requests still come for so long
-MAX_BACKLOG_MS = 500.0  # for clients that have connected and are not accepted yet
 LONGEST_DEADLINE_MS = 3_000.0  # at most, whatever the classes' timeouts are
 KILL_GRACE_MS = 700.0
 ANSWER_BEFORE_KILL_MS = 550.0
@@ -36,15 +32,13 @@
         self,
         coordinator: Coordinator,
         deadlines: Deadlines,
-        listeners: Sequence[trio.SocketListener],
+        acceptor: FrontAcceptor,
         rpc: RpcFront,
-        odata: ODataFront | None,
     ) -> None:
         self._coordinator = coordinator
         self._deadlines = deadlines
-        self._listeners = listeners
+        self._acceptor = acceptor
         self._rpc = rpc
-        self._odata = odata
 
     async def drain(self, accepting: Sequence[trio.CancelScope], requested_ms: float | None = None) -> None:
         """Return once all is answered, or time is up; cancel ``accepting`` when no new client may come.
@@ -56,7 +50,7 @@
         now_ms = self._deadlines.clock()
         answer_ms = self._kill_ms(now_ms if requested_ms is None else requested_ms) - ANSWER_BEFORE_KILL_MS
         await self._deadlines.sleep(min(ACCEPT_MS, answer_ms - now_ms))
-        await self._accept_backlog()
+        await self._accept_backlog(answer_ms)
         for scope in accepting:
             scope.cancel()
         while self._deadlines.clock() < answer_ms and self._coordinator.open_count:
@@ -72,19 +66,16 @@
         longest_ms = max(spec.client_timeout_ms for spec in self._coordinator.settings.classes)
         return requested_ms + min(LONGEST_DEADLINE_MS, longest_ms) + KILL_GRACE_MS
 
-    async def _accept_backlog(self) -> None:
-        """Wait until who has connected by now is accepted.
+    async def _accept_backlog(self, until_ms: float) -> None:
+        """Wait until who has connected by now is accepted, or the time for the last answers has come.
 
         Closing a listener resets the connections that wait at it, and the requests sent on them are lost.
         """
-        until_ms = self._deadlines.clock() + MAX_BACKLOG_MS
         while self._deadlines.clock() < until_ms and any(
-            listener.socket.is_readable() for listener in self._listeners
+            listener.socket.is_readable() for listener in self._acceptor.listeners
         ):
             await self._deadlines.sleep(BACKLOG_POLL_MS)
 
     def _all_closed(self) -> bool:
-        """Whether all is answered and flushed, at both fronts."""
-        if self._rpc.clients or self._coordinator.live:
-            return False
-        return self._odata is None or self._odata.idle
+        """Whether all is answered and flushed, also for clients that were accepted a moment ago."""
+        return not (self._acceptor.open_connections or self._coordinator.live)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import time
+from typing import Any
 
 import msgpack
 import pytest
@@ -20,7 +21,7 @@
 from fordstair.program import Program as Coordination
 from fordstair.program.signal_arrivals import noting_arrivals
 from fordstair.runtime.clock import monotonic_now
-from tests.scenes import ROWS, Endless, ends, hold_reads, play, until
+from tests.scenes import ROWS, Endless, Gate, ends, hold_reads, play, until
 from tests.standins import (
     SETTINGS,
     Answered,
@@ -261,6 +262,52 @@
     play(scene)
 
 
+def hold_accepts(monkeypatch: pytest.MonkeyPatch, listener: trio.SocketListener) -> Gate:
+    """Clients of a listener are accepted once the gate is opened, but for one whose accept is under way."""
+    gate, port = Gate(), listener.socket.getsockname()[1]
+    socket_type = type(listener.socket)
+    accept = socket_type.accept
+
+    async def held(sock: Any) -> Any:
+        if sock.getsockname()[1] == port:
+            await gate()
+        return await accept(sock)
+
+    monkeypatch.setattr(socket_type, "accept", held)
+    return gate
+
+
+def test_who_waits_to_be_accepted_for_long_when_a_drain_ends_is_not_reset(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against closing the listener after a fixed time: a busy program has not accepted all by then.
+    async def scene() -> None:
+        async with engine() as one, inside(config(one.address)) as node:
+            ahead, looks = [0.0], [0]
+
+            def clock() -> float:
+                looks[0] += 1
+                return monotonic_now() + ahead[0]
+
+            node.deadlines.clock = clock
+            gate = hold_accepts(monkeypatch, node.listeners[0])
+            node.stop.make(node.deadlines.clock())
+            clients = [await connect(node) for _ in range(5)]
+            numbers = [await client.ask(txn=f"{n:016x}") for n, client in enumerate(clients)]
+            await until(lambda: gate.held)
+            for ms in (800.0, 1_400.0):  # the time for new clients, and half a second more
+                ahead[0] = ms
+                node.deadlines.sweep()
+                seen = looks[0]
+                await until(lambda seen=seen: looks[0] > seen + 50)  # type: ignore[misc]
+            gate.open.set()
+            for client, number in zip(clients, numbers, strict=True):
+                error, result = await client.answer(number)
+                assert result == ROWS or error[0] == "Overloaded"
+
+    play(scene)
+
+
 def test_who_has_connected_when_a_drain_stops_accepting_is_answered() -> None:
     """Connections and their requests lie in the backlog in the moment in which the listener is closed."""
 
