--- a/fordstair/lab/soak/oracle.py
+++ b/fordstair/lab/soak/oracle.py
@@ -85,8 +85,8 @@
             )
             for one, other in itertools.pairwise(runs):
                 if other.started_s + self.slack_s < one.ended_s:
-                    where = f"{txn} at {other.engine} beside {one.engine}"
-                    yield Violation("parallel", other.started_s, where)
+                    beside = f"{one.engine} {one.started_s:.3f} to {one.ended_s:.3f} {one.how}"
+                    yield Violation("parallel", other.started_s, f"{txn} at {other.engine} beside {beside}")
 
     def _answers(self) -> Iterator[Violation]:
         for request in self.record.requests:
@@ -188,7 +188,10 @@
             left_s = request.sent_s + request.limit_s - attempt.read_s
             spare_s = self.slack_s + self._paused(request, request.sent_s, attempt.read_s)
             if attempt.limit_ms > (left_s + spare_s) * 1e3 + LIMIT_SLACK_MS:
-                what = f"{attempt.txn}: {attempt.limit_ms} ms where {left_s:.3f} s are left"
+                where = (
+                    f"{attempt.txn} of {request.coordinator}, sent {request.sent_s:.3f}, at {attempt.engine}"
+                )
+                what = f"{where}: {attempt.limit_ms} ms where {left_s:.3f} s are left"
                 yield Violation("limit", attempt.read_s, what)
 
     def _drains(self) -> Iterator[Violation]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -174,3 +174,11 @@
     assert not report.violations, str(report)
     assert report.answers["served"] > 100
     assert len(report.record.injected) > 15
+
+
+@pytest.mark.parametrize("seed", [66, 72])
+def test_twenty_coordinators_break_no_rule_at_seeds_that_broke_one(seed: int) -> None:
+    # Guards against a limit told without a wait before the engine, and an attempt beside another.
+    report = soak(Plan(seed=seed, coordinators=20))
+    assert report.record.worst_lag_s < MAX_LAG_S, "the machine is too busy to judge"
+    assert not report.violations, str(report)
