Tell the whole story of a request that breaks a rule in the soak

One occurrence of a violation is to be enough to name its cause. The program logs at level debug when a request is taken, an attempt begun, a request abandoned and answered. Under the fault shim of a soak these events carry the monotonic clock, and a report puts them in one order with what the client and the engines saw, the faults, resets of engines' connections, and how long the coordinator waited for a core (schedstat).

--- a/fordstair/core/attempt_executor.py
+++ b/fordstair/core/attempt_executor.py
@@ -137,7 +137,9 @@
         if (denial := self._denial(live, attempt.engine, attempt.send)) is not None:
             self._record_denial(live, attempt.send, denial)
             return False
-        live.send_guard.begin(self._deadlines.clock())
+        now_ms = self._deadlines.clock()
+        live.send_guard.begin(now_ms)
+        log.debug("attempt.begun", **_log_fields(attempt), left_ms=round(live.deadline_ms - now_ms))
         return True
 
     def _denial(self, live: LiveRequest, engine: Engine, send: SendAttempt) -> Denial | None:
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -127,6 +127,7 @@
         if live.finished:
             return
         self.counters.add("client.disconnected")
+        log.debug("request.abandoned", txn=live.query.transaction_id, engine=live.engine)
         live.abandon()
         queue = self.extensions.admission_queue
         if queue is None or not queue.remove(live):
--- a/fordstair/core/request_table.py
+++ b/fordstair/core/request_table.py
@@ -56,6 +56,13 @@
         self.live[live.id] = live
         self._transaction_ids.add(query.transaction_id.lower())
         self._counters.add(f"taken.{query.class_name}")
+        log.debug(
+            "request.taken",
+            txn=query.transaction_id,
+            class_name=query.class_name,
+            timeout_ms=query.timeout_ms,
+            read_delay_ms=round(query.read_delay_ms, 1),
+        )
         return live
 
     def remove(self, live: LiveRequest) -> None:
@@ -106,6 +113,7 @@
         if live.finished:
             return
         self._counters.add(f"answered.{answer.value}.{live.query.class_name}")
+        log.debug("request.answered", txn=live.query.transaction_id, answer=answer.value)
         send()
         live.finished = True
         live.wakeup.set()
--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -113,7 +113,7 @@
         self.silent = False
         self._spoken.set()
 
-    def noticed(self, method: str, fields: Mapping[str, str]) -> None:
+    def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
         """Called as each call has come whole, before it is taken up; for those who look on."""
 
     def slow_down(self, times: float) -> None:
@@ -183,7 +183,7 @@
                     body += event.data
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
                     self.counts[f"read.{request.method.decode()}"] += 1
-                    self.noticed(request.method.decode(), _fields(request))
+                    self.noticed(request.method.decode(), _fields(request), stream)
                     await self._spoken.wait()
                     status, headers, text = await self._answer(request, bytes(body))
                     await self._spoken.wait()
--- a/fordstair/lab/fault_shim.py
+++ b/fordstair/lab/fault_shim.py
@@ -10,12 +10,16 @@
 of ``socket.socket`` (open, accept, connect, and on the network recv and send) that fail with an errno by
 chance, as Linux documents for them; ``{"short": 3}`` makes recv and send handle at most that many bytes at a
 time. ``interrupt_ms`` sends the process a signal in that interval: its system calls are interrupted (EINTR).
+
+Where ``FORDSTAIR_TIMED_LOG`` is set, the program logs its debug events too, each with ``@`` and the monotonic
+clock in seconds before its name: what several processes did can be put in one order.
 """
 
 from __future__ import annotations
 
 import atexit
 import errno
+import logging
 import os
 import random
 import signal
@@ -31,6 +35,8 @@
 from fordstair.blocked_signals import block
 
 ENVIRONMENT_VARIABLE = "FORDSTAIR_FAULTS"
+TIMED_LOG_VARIABLE = "FORDSTAIR_TIMED_LOG"
+TIME_MARK = "@"  # before the time of a log line
 APPLIED = "fault_shim: applied"
 NETWORK_FAMILIES = (socket.AF_INET, socket.AF_INET6)  # trio wakes itself by a socket pair, which never fails
 
@@ -117,12 +123,27 @@
         return min(size, int(self.calls.get(name, {}).get("short", size)))
 
 
+def log_with_times() -> None:
+    """Have every event of the program logged, with the monotonic clock before its name."""
+    make_record = logging.getLogRecordFactory()
+
+    def timed(*arguments: Any, **fields: Any) -> logging.LogRecord:
+        record = make_record(*arguments, **fields)
+        record.msg = f"{TIME_MARK}{time.monotonic():.4f} {record.msg}"
+        return record
+
+    logging.setLogRecordFactory(timed)
+    logging.getLogger("fordstair").setLevel(logging.DEBUG)
+
+
 def main() -> int:
     """Install the faults, and run the program on this command line."""
     block()
     shim = FaultShim(Path(os.environ[ENVIRONMENT_VARIABLE]))
     shim.install()
     shim.load()
+    if os.environ.get(TIMED_LOG_VARIABLE):
+        log_with_times()
     from fordstair.__main__ import main as program  # only now: it must see the replaced calls alone
 
     return program()
--- a/fordstair/lab/soak/clients.py
+++ b/fordstair/lab/soak/clients.py
@@ -44,6 +44,7 @@
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
+        self.port = int(stream.socket.getsockname()[1])
         self.lock = trio.Lock()
         self.last = 0
         self.open: dict[int, RequestRecord] = {}
@@ -112,6 +113,7 @@
             number = connection.last
             request = RequestRecord(txn, kind.class_name, self._coordinator.name, self._now_s(), limit_s)
             request.first = number == 1
+            request.client_port = connection.port
             connection.open[number] = request  # before it is written: the answer may come at once
             connection.requests[number] = request
             if not await self._write(connection, msgpack.packb([0, number, kind.class_name, [fields, body]])):
--- a/fordstair/lab/soak/coordinators.py
+++ b/fordstair/lab/soak/coordinators.py
@@ -16,7 +16,8 @@
 import ujson
 
 from fordstair.lab.coordinator_process import POLL_S, CoordinatorProcess
-from fordstair.lab.fault_shim import APPLIED, ENVIRONMENT_VARIABLE
+from fordstair.lab.fault_shim import APPLIED, ENVIRONMENT_VARIABLE, TIMED_LOG_VARIABLE
+from fordstair.lab.soak.core_wait import CoreWaitSampler
 from fordstair.lab.soak.plan import Fault, FaultKind, TimedSignal
 from fordstair.lab.soak.records import CoordinatorEnd, InjectedFault, PlannedEnd, SoakRecord, Span
 
@@ -59,6 +60,7 @@
         self._in_force: list[Fault] = []
         self._end_expected = False  # whether its end is the soak's doing
         self._begun = trio.Event()  # set as the next process is started
+        self._core_wait = CoreWaitSampler(name, record)
 
     async def start(self, known: dict[str, Any], channel: str) -> None:
         """Start a process, and wait until it listens."""
@@ -68,7 +70,11 @@
         self._end_expected = False
         self._shim_ready = False
         begun = self._begun
-        environ = {"RELAY_CONFIG": str(self._config), ENVIRONMENT_VARIABLE: str(self._faults)}
+        environ = {
+            "RELAY_CONFIG": str(self._config),
+            ENVIRONMENT_VARIABLE: str(self._faults),
+            TIMED_LOG_VARIABLE: "1",
+        }
         program = ["-m", "fordstair.lab.fault_shim"]
         self._process = CoordinatorProcess(program, self._log, environ, append=True)
         begun.set()
@@ -213,6 +219,18 @@
             self._end_expected = True
             self._record.ends.append(CoordinatorEnd(self.name, now_s, False, status))
 
+    def log_lines(self) -> list[str]:
+        """Return the lines of its log, of all processes that it has been."""
+        return self._text().splitlines()
+
+    def sample_core_wait(self, now_s: float) -> None:
+        """Note where the process waited for a core rather than ran, since the latest sample."""
+        if self._process is None:
+            return
+        with suppress(OSError, ValueError):
+            _, waited_ns, _ = Path(f"/proc/{self._process.pid}/schedstat").read_text().split()
+            self._core_wait.sample(self._process.pid, now_s, int(waited_ns) / 1e9)
+
     def read_log(self) -> None:
         """Note the lines of its log that no run may show."""
         lines = self._text().splitlines()
--- a/fordstair/lab/soak/engines.py
+++ b/fordstair/lab/soak/engines.py
@@ -21,6 +21,7 @@
         self._record = record
         self._start_s = start_s
         self._latest: dict[str, AttemptRecord] = {}
+        self._came_on: dict[trio.SocketStream, AttemptRecord] = {}  # the latest on each connection
 
     def _now_s(self) -> float:
         return trio.current_time() - self._start_s
@@ -29,14 +30,22 @@
         """Count the time of the run from here on."""
         self._start_s = start_s
 
-    def noticed(self, method: str, fields: Mapping[str, str]) -> None:
+    def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
         """Write a POST down that has come whole, also where the engine is silent."""
         if method == "POST":
             txn = fields.get("x-txn", "")
             attempt = AttemptRecord(txn, self.name, self._now_s(), float(fields.get("x-limit-ms", "nan")))
             self._latest[txn] = attempt
+            self._came_on[stream] = attempt
             self._record.attempts.append(attempt)
 
+    def reset_connections(self) -> None:
+        """Write down which attempts' connections are reset."""
+        for stream in self._streams:
+            if (attempt := self._came_on.pop(stream, None)) is not None:
+                attempt.connection_ended_s = self._now_s()
+        super().reset_connections()
+
     async def _post(self, fields: dict[str, str], body: bytes) -> tuple[int, list[tuple[str, str]], bytes]:
         attempt = self._latest[fields.get("x-txn", "")]
         before = self.started[attempt.txn]
--- a/fordstair/lab/soak/oracle.py
+++ b/fordstair/lab/soak/oracle.py
@@ -41,6 +41,7 @@
     rule: str
     at_s: float
     what: str
+    txn: str = ""  # of the request that it is about
 
     def __str__(self) -> str:
         return f"{self.at_s:.3f} {self.rule}: {self.what}"
@@ -76,7 +77,7 @@
             ran = [each for each in attempts if each.how != "refused"]
             if request is not None and request.class_name == UNSAFE_CLASS and len(ran) > 1:
                 engines = ", ".join(f"{each.engine} {each.read_s:.3f} {each.how}" for each in ran)
-                yield Violation("duplicate", ran[1].read_s, f"{txn} of {request.coordinator}: {engines}")
+                yield Violation("duplicate", ran[1].read_s, f"{txn} of {request.coordinator}: {engines}", txn)
 
     def _parallel(self) -> Iterator[Violation]:
         for txn, attempts in self.attempts.items():
@@ -86,14 +87,16 @@
             for one, other in itertools.pairwise(runs):
                 if other.started_s + self.slack_s < one.ended_s:
                     beside = f"{one.engine} {one.started_s:.3f} to {one.ended_s:.3f} {one.how}"
-                    yield Violation("parallel", other.started_s, f"{txn} at {other.engine} beside {beside}")
+                    yield Violation(
+                        "parallel", other.started_s, f"{txn} at {other.engine} beside {beside}", txn
+                    )
 
     def _answers(self) -> Iterator[Violation]:
         for request in self.record.requests:
             if len(request.answers) > 1:
-                yield Violation("second answer", request.answers[1][0], request.txn)
+                yield Violation("second answer", request.answers[1][0], request.txn, request.txn)
             elif any(how == "spoilt" for _, how in request.answers):
-                yield Violation("spoilt answer", request.answers[0][0], request.txn)
+                yield Violation("spoilt answer", request.answers[0][0], request.txn, request.txn)
             elif request.gone_s == math.inf and not self._lost_by_a_kill(request):
                 yield from self._answer_in_time(request)
 
@@ -103,9 +106,10 @@
         name = f"{request.txn} {request.class_name} of {request.coordinator}, sent {request.sent_s:.3f}"
         if not request.answers:
             if not self._excused(request):
-                yield Violation("lost", min(late_s, request.closed_s), f"{name}: no answer")
+                yield Violation("lost", min(late_s, request.closed_s), f"{name}: no answer", request.txn)
         elif request.answers[0][0] > late_s:
-            yield Violation("lost", request.answers[0][0], f"{name}: an answer after {late_s:.3f}")
+            what = f"{name}: an answer after {late_s:.3f}"
+            yield Violation("lost", request.answers[0][0], what, request.txn)
 
     def _paused(self, request: RequestRecord, from_s: float, to_s: float) -> float:
         spans = self.record.held(FaultKind.PAUSE, request.coordinator)
@@ -171,7 +175,8 @@
         for attempt in self.record.attempts:
             request = self.requests.get(attempt.txn)
             if request is None:
-                yield Violation("unknown request", attempt.read_s, f"{attempt.txn} at {attempt.engine}")
+                what = f"{attempt.txn} at {attempt.engine}"
+                yield Violation("unknown request", attempt.read_s, what, attempt.txn)
                 continue
             begun_s = attempt.read_s - self._paused(request, request.gone_s, attempt.read_s)
             if begun_s > request.gone_s + GONE_SLACK_S + self.slack_s:
@@ -179,6 +184,7 @@
                     "begun for nobody",
                     attempt.read_s,
                     f"{attempt.txn} of {request.coordinator} gone at {request.gone_s:.3f}",
+                    attempt.txn,
                 )
 
     def _limits(self) -> Iterator[Violation]:
@@ -192,7 +198,7 @@
                     f"{attempt.txn} of {request.coordinator}, sent {request.sent_s:.3f}, at {attempt.engine}"
                 )
                 what = f"{where}: {attempt.limit_ms} ms where {left_s:.3f} s are left"
-                yield Violation("limit", attempt.read_s, what)
+                yield Violation("limit", attempt.read_s, what, attempt.txn)
 
     def _drains(self) -> Iterator[Violation]:
         for attempt in self.record.attempts:
@@ -210,7 +216,7 @@
                     what = (
                         f"{attempt.txn} of {request.coordinator} to {attempt.engine}, told {announced_s:.3f}"
                     )
-                    yield Violation("drain", attempt.read_s, what)
+                    yield Violation("drain", attempt.read_s, what, attempt.txn)
 
     def _deaf(self, coordinator: str, from_s: float, to_s: float) -> bool:
         spans = [span for kind in DEAF_KINDS for span in self.record.held(kind, coordinator)]
--- a/fordstair/lab/soak/records.py
+++ b/fordstair/lab/soak/records.py
@@ -21,6 +21,7 @@
     gone_s: float = math.inf  # when its client cancelled it, or closed its connection
     closed_s: float = math.inf  # when the coordinator ended its connection
     first: bool = False  # on its connection
+    client_port: int = 0  # the local port of its connection
 
 
 @dataclass(slots=True)
@@ -34,6 +35,7 @@
     started_s: float = math.inf
     ended_s: float = math.inf
     how: str = "unread"  # then: refused, runs, served, dropped, unasked, lost
+    connection_ended_s: float = math.inf  # when the engine reset the connection that it came on
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,15 @@
     last_event: str = ""  # of its log, where it was killed
 
 
+@dataclass(frozen=True, slots=True)
+class CoreWait:
+    """A coordinator's process was runnable for so long in a span, and had no core."""
+
+    name: str
+    sampled: Span
+    waited_s: float
+
+
 @dataclass(slots=True)
 class SoakRecord:
     """All that was seen in one run."""
@@ -97,6 +108,9 @@
     ends: list[CoordinatorEnd] = field(default_factory=list)
     log_faults: list[str] = field(default_factory=list)  # lines of logs that no run may show
     worst_lag_s: float = 0.0  # by which the soak itself was late
+    core_waits: list[CoreWait] = field(default_factory=list)
+    logs: dict[str, list[str]] = field(default_factory=dict)  # by coordinator
+    clock_base_s: float = 0.0  # of the monotonic clock, at the start of the run
 
     def held(self, kind: FaultKind, name: str | None = None) -> list[Span]:
         """Return when faults of a kind held, everywhere or at one place."""
--- a/fordstair/lab/soak/run.py
+++ b/fordstair/lab/soak/run.py
@@ -5,6 +5,7 @@
 import math
 import signal
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from fordstair.lab.soak.oracle import Oracle, Violation
 from fordstair.lab.soak.plan import Fault, FaultKind, TimedSignal, draw_faults
 from fordstair.lab.soak.records import Drain, InjectedFault, PlannedEnd, SoakRecord, Span
+from fordstair.lab.soak.story import story
 
 MAX_LAG_S = 0.5  # a run that was itself later than that judges nothing
 WATCH_INTERVAL_S = 0.05
@@ -80,6 +82,8 @@
         if self.violations:
             lines += [f"  fault {fault}" for fault in self.faults]
             lines += [f"  VIOLATION {violation}" for violation in self.violations]
+            for txn in sorted({violation.txn for violation in self.violations if violation.txn}):
+                lines += [f"  STORY {txn}", *(f"    {line}" for line in story(self.record, txn))]
         return "\n".join(lines)
 
 
@@ -119,6 +123,7 @@
             try:
                 await self._start_coordinators(names)
                 self.start_s = trio.current_time()
+                self.record.clock_base_s = time.monotonic()
                 for engine in self.engines.values():
                     engine.rebase(self.start_s)
                 nursery.start_soon(self._watch)
@@ -129,6 +134,7 @@
             nursery.cancel_scope.cancel()
         for each in self.coordinators.values():
             each.read_log()
+            self.record.logs[each.name] = each.log_lines()
         return Report(self.plan, faults, self.record, Oracle(self.record).violations())
 
     async def _start_coordinators(self, names: list[str]) -> None:
@@ -189,6 +195,7 @@
             self.record.worst_lag_s = max(self.record.worst_lag_s, trio.current_time() - due_s)
             for coordinator in self.coordinators.values():
                 coordinator.check_running(self.now_s())
+                coordinator.sample_core_wait(self.now_s())
 
     async def _inject(self, fault: Fault) -> None:
         """Let a fault hold for its time, and write down when it did."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from fordstair.lab.soak.records import (
     AttemptRecord,
     CoordinatorEnd,
+    CoreWait,
     Drain,
     InjectedFault,
     PlannedEnd,
@@ -20,6 +21,7 @@
     Span,
 )
 from fordstair.lab.soak.run import MAX_LAG_S, Plan, soak
+from fordstair.lab.soak.story import story
 
 TXN = "a" * 16
 
@@ -135,6 +137,17 @@
     assert rules(record()) == broken
 
 
+def test_the_story_of_a_request_puts_all_that_is_known_of_it_in_one_order() -> None:
+    record = with_fault(served(), FaultKind.PAUSE, 1.02, 1.2)
+    record.clock_base_s = 100.0
+    record.logs["n0"] = [f"DEBUG x: @101.0050 request.taken txn={TXN}", "DEBUG x: @101.0 request.taken txn=b"]
+    record.core_waits.append(CoreWait("n0", Span(1.1, 1.15), 0.03))
+    told = story(record, TXN)
+    wanted = ["client: meter-load", "request.taken", "s-1: has read", "s-1: starts", "fault until 1.200"]
+    wanted += ["n0: waited 30 ms", "s-1: served", "client: served"]
+    assert [want in line for want, line in zip(wanted, told, strict=True)] == [True] * len(wanted)
+
+
 def test_a_plan_is_drawn_from_its_seed_and_holds_every_kind() -> None:
     names, engines = ["n0", "n1"], ["s-1"]
     one, same, other = (draw_faults(seed, 200.0, 5.0, names, engines) for seed in (3, 3, 4))
