Fix limits told too long by a turn of the loop: date a read when it is made

Callers saw engines work on for clients that had gone: a call of trio's that reads returns a turn of the event loop after the bytes were read, and the time of reading was taken then. In a busy turn that was hundreds of milliseconds, which were not taken off the limit. At the OData front the wait before the read was estimated in that later turn as well, so that the poll which had seen the bytes was forgotten.

ReadDelay.read_ms is taken between the wait for bytes and the read; TimedStream does the same for the OData front, below TLS too, so that a handshake's reads count.

--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -16,9 +16,8 @@
 from fordstair.net.clients.odata_router import ODataRouter
 from fordstair.net.clients.odata_services import ODataServices
 from fordstair.net.clients.odata_statements import StatementRunner
-from fordstair.net.clients.read_delay import ReadDelay
+from fordstair.net.clients.read_delay import READ_BYTES, ReadDelay
 
-READ_BYTES = 65_536
 _NO_CONTENT = 204
 
 
@@ -31,7 +30,6 @@
         self._deadlines = services.coordinator.deadlines
         self._http = h11.Connection(h11.SERVER)
         self._read_delay = read_delay
-        self._received_ms = self._deadlines.clock()  # when bytes were read last
         self._has_requested = False  # it has sent a complete request
         self._statements = StatementRunner(services.coordinator)
         self._router = ODataRouter(services, stream, self._statements)
@@ -100,18 +98,12 @@
         self._http.receive_data(await self._read())
 
     async def _read(self) -> bytes:
-        """Read what comes next; note for how long it may have been here."""
-        self._read_delay.begin_wait()
-        data = bytes(await self._stream.receive_some(READ_BYTES))
-        self._read_delay.note_readable()
-        self._received_ms = self._deadlines.clock()
-        if len(data) < READ_BYTES:
-            self._read_delay.note_drained(self._received_ms)
-        return data
+        """Read what comes next; its stream notes for how long it may have been here."""
+        return bytes(await self._stream.receive_some(READ_BYTES))
 
     async def _answer(self, request: ODataRequest) -> None:
         """Answer one request, while watching for its client to leave."""
-        self._statements.begin_request(self._received_ms - self._read_delay.last_ms)
+        self._statements.begin_request(self._read_delay.read_ms - self._read_delay.last_ms)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_end)
             response = await self._router.respond(request)
--- a/fordstair/net/clients/odata_front.py
+++ b/fordstair/net/clients/odata_front.py
@@ -12,7 +12,6 @@
 from fordstair.net.clients.closing import linger
 from fordstair.net.clients.odata_connection import ODataConnection
 from fordstair.net.clients.odata_results import StoredResults
-from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.read_delay import ReadDelay
 from fordstair.net.clients.repeatable_requests import IdempotencyStore, LocalIdempotencyStore
 from fordstair.runtime.event_log import EventLog
@@ -29,23 +28,19 @@
         self,
         coordinator: Coordinator,
         operator: Operator,
-        poll_watch: PollWatch,
         team_of: Callable[[trio.abc.Stream], str | None] = lambda _: None,
     ) -> None:
         self.coordinator = coordinator
         self.operator = operator
-        self.poll_watch = poll_watch
         self.results = StoredResults(operator.max_results, operator.result_lifetime_ms, coordinator.deadlines)
         self.idempotency_store: IdempotencyStore = LocalIdempotencyStore(coordinator)
         self.team_of = team_of
         self.connections = 0
 
-    async def serve(
-        self, stream: trio.abc.Stream, transport: trio.SocketStream, accept_delay_ms: float = 0.0
-    ) -> None:
-        """Serve one connection, over a transport that it may have secured; a fault in it ends no other.
+    async def serve(self, stream: trio.abc.Stream, read_delay: ReadDelay) -> None:
+        """Serve one connection; a fault in it ends no other.
 
-        ``accept_delay_ms`` says how long at most its first request may have waited for it to be accepted.
+        ``read_delay`` is kept by the stream, or by the one below it.
         """
         if self.connections >= self.max_clients:
             self.coordinator.counters.add("odata.rejected")
@@ -54,7 +49,6 @@
         self.connections += 1
         self.coordinator.counters.add("odata.connections")
         try:
-            read_delay = ReadDelay(transport, self.poll_watch, self.coordinator.deadlines, accept_delay_ms)
             await ODataConnection(self, stream, read_delay).run()
             await linger(stream, self.coordinator.deadlines)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
--- a/fordstair/net/clients/read_delay.py
+++ b/fordstair/net/clients/read_delay.py
@@ -7,6 +7,7 @@
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.runtime.deadlines import Deadlines
 
+READ_BYTES = 65_536  # at most at a time
 SHORT_GAP_MS = 20.0  # between two waits of a connection: what came in it is not late
 
 
@@ -28,6 +29,7 @@
         self._unwatched_since_ms = self._drained_ms - accept_delay_ms
         self._came_unwatched = False  # what is read next was here before the wait for it
         self.last_ms = 0.0  # of what was read last
+        self.read_ms = self._drained_ms  # when that was read
 
     def begin_wait(self) -> None:
         """The connection is about to wait for bytes."""
@@ -35,8 +37,8 @@
         self._came_unwatched = gap_ms > SHORT_GAP_MS and self._stream.socket.is_readable()
 
     def note_readable(self) -> None:
-        """The wait is over: bytes are about to be read, or just were."""
-        now_ms = self._deadlines.clock()
+        """The wait is over: bytes are read now, in this turn of the event loop."""
+        now_ms = self.read_ms = self._deadlines.clock()
         if self._came_unwatched:
             self.last_ms = now_ms - self._unwatched_since_ms
         else:
@@ -47,3 +49,42 @@
         """All that had come has been read."""
         self._drained_ms = now_ms
         self._unwatched_since_ms = now_ms
+
+
+class TimedStream(trio.abc.HalfCloseableStream):
+    """A client's connection, of which each read notes its delay; also below TLS, with its handshake.
+
+    ``read_delay`` is that of what was read last.
+    """
+
+    def __init__(self, stream: trio.SocketStream, read_delay: ReadDelay) -> None:
+        self.read_delay = read_delay
+        self._stream = stream
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Read what comes next; nothing at the end."""
+        most = max_bytes or READ_BYTES
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.read_delay.begin_wait()
+        await trio.lowlevel.wait_readable(self._stream.socket)
+        self.read_delay.note_readable()
+        data = bytes(await self._stream.receive_some(most))
+        if len(data) < most:
+            self.read_delay.note_drained(self.read_delay.read_ms)
+        return data
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send all of it."""
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until there may be room to send."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def send_eof(self) -> None:
+        """End this side."""
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
--- a/fordstair/net/identity.py
+++ b/fordstair/net/identity.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import trio
 from cryptography import x509
@@ -22,6 +22,7 @@
 RELOAD_CHECK_MS = 2_000.0  # between two checks of the files, which are replaced when the identity rotates
 HANDSHAKE_TIMEOUT_MS = 5_000.0
 
+StreamT = TypeVar("StreamT", bound=trio.abc.Stream)
 FileStamps = tuple[tuple[int, int], ...]
 
 
@@ -108,7 +109,7 @@
             log.warning("identity.reload_failed", why=error)
         self.deadlines.after(RELOAD_CHECK_MS, self.watch)
 
-    def check(self, stream: trio.SSLStream[trio.SocketStream]) -> str:
+    def check(self, stream: trio.SSLStream[Any]) -> str:
         """Return the ID of the peer of a finished handshake; raise IdentityError for another trust domain."""
         certificate = stream.getpeercert(binary_form=True)
         if not certificate:
@@ -141,7 +142,7 @@
             self.counters.add("identity.clients_rejected")
             return ""
 
-    async def secure(self, stream: trio.SocketStream) -> trio.SSLStream[trio.SocketStream] | None:
+    async def secure(self, stream: StreamT) -> trio.SSLStream[StreamT] | None:
         """Do a client's handshake; None where it fails or takes too long."""
         secured = trio.SSLStream(stream, self.server, server_side=True, https_compatible=True)
         with self.deadlines.limit_for(HANDSHAKE_TIMEOUT_MS):
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -17,6 +17,7 @@
 from fordstair.core.start_times import StartTimes
 from fordstair.net.clients.listener import Serve
 from fordstair.net.clients.poll_watch import PollWatch
+from fordstair.net.clients.read_delay import ReadDelay, TimedStream
 from fordstair.net.clients.rpc_front import RpcFront
 from fordstair.net.engine_list_watch import EngineListWatch
 from fordstair.net.engines.pool import ConnectionPool
@@ -86,7 +87,7 @@
         self.budgets = build_fleet_budgets(operator, config, self.coordinator, self.admission_queue)
         self.poll_watch = PollWatch()
         self.rpc = RpcFront(self.coordinator, self.poll_watch)
-        self.odata = build_odata_front(operator, self.coordinator, self.identity, self.poll_watch)
+        self.odata = build_odata_front(operator, self.coordinator, self.identity)
         self.ledger = build_ledger(operator, config, self.odata, self.counters)
         self.membership = build_membership(operator, config, self.counters)
         self.console_server = build_console_server(
@@ -248,11 +249,13 @@
         """Return what serves an OData client, after its handshake where there are identities."""
 
         async def serve(stream: trio.SocketStream, accept_delay_ms: float) -> None:
+            read_delay = ReadDelay(stream, self.poll_watch, self.deadlines, accept_delay_ms)
+            timed = TimedStream(stream, read_delay)
             try:
                 if self.identity is None:
-                    await odata.serve(stream, stream, accept_delay_ms)
-                elif (secured := await self.identity.secure(stream)) is not None:
-                    await odata.serve(secured, stream)  # nothing came before the handshake
+                    await odata.serve(timed, read_delay)
+                elif (secured := await self.identity.secure(timed)) is not None:
+                    await odata.serve(secured, read_delay)
             except Exception:  # one client's handshake must not end the others' connections
                 log.exception("odata.internal_error")
 
--- a/fordstair/program/optional_parts.py
+++ b/fordstair/program/optional_parts.py
@@ -23,7 +23,6 @@
     from fordstair.core.admission_queue import AdmissionQueue
     from fordstair.membership.transport import Membership
     from fordstair.net.clients.odata_front import ODataFront
-    from fordstair.net.clients.poll_watch import PollWatch
     from fordstair.net.console_server import ConsoleServer
     from fordstair.net.identity import Identity
     from fordstair.replication.service import ReplicationService
@@ -107,14 +106,14 @@
 
 
 def build_odata_front(
-    operator: Operator | None, coordinator: Coordinator, identity: Identity | None, poll_watch: PollWatch
+    operator: Operator | None, coordinator: Coordinator, identity: Identity | None
 ) -> ODataFront | None:
     """Serve OData clients beside those of the platform."""
     if operator is None or operator.listen is None:
         return None
     from fordstair.net.clients.odata_front import ODataFront
 
-    return ODataFront(coordinator, operator, poll_watch, identity.team_of if identity else lambda _: None)
+    return ODataFront(coordinator, operator, identity.team_of if identity else lambda _: None)
 
 
 def build_ledger(
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -30,7 +30,6 @@
 from fordstair.net.clients.odata_results import Result, StoredResults
 from fordstair.net.clients.odata_router import ODataRouter
 from fordstair.net.clients.odata_statements import Statement, StatementRunner
-from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.rpc_query import InvalidRequestError, read_query
 from fordstair.net.console_commands import InvalidCommandError, read_command
 from fordstair.net.engine_list_wire import FrameError, read_event, read_frame
@@ -126,7 +125,7 @@
         operator = operator_file.operator_options(
             operator_file.load_operator_file(str(path), require_site=False)
         )
-    front = ODataFront(coordinator(), operator, PollWatch())
+    front = ODataFront(coordinator(), operator)
     return ODataRouter(front, trio.testing.MemorySendStream(), StubStatements(front.coordinator))  # type: ignore[arg-type]
 
 
