--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -84,6 +84,7 @@
         self._spoken = trio.Event()  # set while it is not silent
         self._spoken.set()
         self._streams: set[trio.SocketStream] = set()
+        self._restarts = 0
 
     # Faults.
 
@@ -93,7 +94,11 @@
         self._spoken = trio.Event()
 
     def come_back_cold(self) -> None:
-        """A new process under the same id and address: what ran is lost, connections are reset."""
+        """A new process under the same id and address: what ran is lost, connections are reset.
+
+        What the old process had read, and not taken up yet, goes with it.
+        """
+        self._restarts += 1
         for run in list(self.runs.values()):
             self._end(run, "lost")
         self.ended.clear()
@@ -170,6 +175,7 @@
         http = h11.Connection(h11.SERVER)
         request = None
         body = bytearray()
+        restarts = self._restarts
         self._streams.add(stream)
         try:
             while True:
@@ -185,6 +191,8 @@
                     self.counts[f"read.{request.method.decode()}"] += 1
                     self.noticed(request.method.decode(), _fields(request), stream)
                     await self._spoken.wait()
+                    if self._restarts != restarts:
+                        return
                     status, headers, text = await self._answer(request, bytes(body))
                     await self._spoken.wait()
                     headers.append(("Content-Length", str(len(text))))
