--- a/fordstair/lab/soak/engines.py
+++ b/fordstair/lab/soak/engines.py
@@ -7,6 +7,7 @@
 import trio
 
 from fordstair.lab.engine import Run, StandIn
+from fordstair.lab.kernel_times import data_age_s
 from fordstair.lab.machine import Machine
 from fordstair.lab.soak.records import AttemptRecord, SoakRecord
 
@@ -34,7 +35,8 @@
         """Write a POST down that has come whole, also where the engine is silent."""
         if method == "POST":
             txn = fields.get("x-txn", "")
-            attempt = AttemptRecord(txn, self.name, self._now_s(), float(fields.get("x-limit-ms", "nan")))
+            arrived_s = self._now_s() - data_age_s(stream)
+            attempt = AttemptRecord(txn, self.name, arrived_s, float(fields.get("x-limit-ms", "nan")))
             self._latest[txn] = attempt
             self._came_on[stream] = attempt
             self._record.attempts.append(attempt)
--- a/fordstair/lab/soak/records.py
+++ b/fordstair/lab/soak/records.py
@@ -30,7 +30,7 @@
 
     txn: str
     engine: str
-    read_s: float
+    read_s: float  # when its last byte arrived at the engine
     limit_ms: float
     started_s: float = math.inf
     ended_s: float = math.inf
--- a/fordstair/lab/soak/story.py
+++ b/fordstair/lab/soak/story.py
@@ -53,7 +53,7 @@
 
 
 def _attempt(attempt: AttemptRecord) -> Iterator[Moment]:
-    yield Moment(attempt.read_s, f"{attempt.engine}: has read it, limit {attempt.limit_ms:.0f} ms")
+    yield Moment(attempt.read_s, f"{attempt.engine}: has it, limit {attempt.limit_ms:.0f} ms")
     if attempt.started_s < math.inf:
         yield Moment(attempt.started_s, f"{attempt.engine}: starts it")
     if attempt.ended_s < math.inf:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -143,7 +143,7 @@
     record.logs["n0"] = [f"DEBUG x: @101.0050 request.taken txn={TXN}", "DEBUG x: @101.0 request.taken txn=b"]
     record.core_waits.append(CoreWait("n0", Span(1.1, 1.15), 0.03))
     told = story(record, TXN)
-    wanted = ["client: meter-load", "request.taken", "s-1: has read", "s-1: starts", "fault until 1.200"]
+    wanted = ["client: meter-load", "request.taken", "s-1: has it", "s-1: starts", "fault until 1.200"]
     wanted += ["n0: waited 30 ms", "s-1: served", "client: served"]
     assert [want in line for want, line in zip(wanted, told, strict=True)] == [True] * len(wanted)
 
--- /dev/null
+++ b/tests/test_soak_stand_ins.py
@@ -0,0 +1,65 @@
+"""The soak's own stand-ins: what they take up, and when they say that bytes have come."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+import pytest
+import trio
+from trio.testing import wait_all_tasks_blocked
+
+from fordstair.lab.engine import StandIn
+from fordstair.lab.machine import Machine
+from fordstair.lab.soak.engines import WatchedEngine
+from fordstair.lab.soak.records import SoakRecord
+from tests.scenes import play, until
+
+FIELDS = b"Host: a\r\nX-Txn: 0f\r\nX-Lane: lookup\r\nX-Limit-Ms: 900\r\nContent-Length: 1\r\n\r\n"
+POST = b"POST /o HTTP/1.1\r\n" + FIELDS + b"x"
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_an_engine_that_restarts_takes_up_nothing_that_its_old_process_had_read(silent: bool) -> None:
+    # Guards against a query that begins beside the next attempt, which the reset rightly sent elsewhere.
+    async def scene() -> None:
+        one = StandIn("s-1", Machine(8.0))
+        if silent:
+            one.go_silent()
+        else:  # between the read and the take-up
+            one.noticed = lambda *_: one.come_back_cold()  # type: ignore[method-assign]
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(one.serve)
+            host, _, port = address.partition(":")
+            async with await trio.open_tcp_stream(host, int(port)) as client:
+                await client.send_all(POST)
+                await until(lambda: one.counts["read.POST"])
+                if silent:
+                    one.come_back_cold()
+                await wait_all_tasks_blocked()
+                assert not one.started
+            nursery.cancel_scope.cancel()
+
+    play(scene)
+
+
+def test_an_attempt_is_dated_by_its_arrival_though_the_soak_is_late_to_read_it() -> None:
+    # Guards against limits that seem too long, and sends that seem late, where it is the judge that is late.
+    late_s = 0.3
+
+    async def scene() -> None:
+        record = SoakRecord()
+        one = WatchedEngine("s-1", record, trio.current_time())
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(one.serve)
+            host, _, port = address.partition(":")
+            with socket.create_connection((host, int(port))) as client:
+                await wait_all_tasks_blocked()
+                sent_s = trio.current_time()
+                client.sendall(POST)
+                time.sleep(late_s)  # noqa: ASYNC251 - the whole soak stands still: that is what is tested
+                await until(lambda: record.attempts)
+            nursery.cancel_scope.cancel()
+        assert record.attempts[0].read_s + one._start_s - sent_s < late_s / 3
+
+    play(scene)
