Fix a console that is refused at the start: show the path once the socket listens

The socket now listens under another name before it is linked to its path. The new test fails before.

--- a/fordstair/net/console_socket.py
+++ b/fordstair/net/console_socket.py
@@ -21,17 +21,25 @@
 
 
 async def listen(path: str) -> trio.SocketListener:
-    """Listen at a path that only the program's own user may open; raise ConfigError."""
+    """Listen at a path that only the program's own user may open; raise ConfigError.
+
+    The path appears once the socket listens: before, consoles would be refused, and another program that
+    starts would take the socket for an abandoned one.
+    """
     _remove_abandoned(path)
+    unlisted = Path(path).with_name(f".{os.getpid()}")
     sock = trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     umask = os.umask(_OWNER_ONLY_UMASK)
     try:
-        await sock.bind(path)
+        await sock.bind(str(unlisted))
+        sock.listen(BACKLOG)
+        os.link(unlisted, path)
     except OSError as error:
-        raise ConfigError(f"console.socket: {path}: {error.strerror}") from None
+        sock.close()
+        raise ConfigError(f"console.socket: {path}: {error.strerror or error}") from None
     finally:
         os.umask(umask)
-    sock.listen(BACKLOG)
+        unlisted.unlink(missing_ok=True)
     return trio.SocketListener(sock)
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -19,6 +19,7 @@
 import trio
 import ujson
 
+from fordstair.configuration.errors import ConfigError
 from fordstair.console.app import ConsoleApp, Question, Table
 from fordstair.console.connection import ConsoleConnectionError, send_command
 from fordstair.lab.appliance import Appliance, appliance, operator_file
@@ -26,6 +27,7 @@
 from fordstair.lab.engine import StandIn
 from fordstair.lab.machine import Machine
 from fordstair.lab.traffic import Kind, Tally, Traffic
+from fordstair.net import console_socket
 from fordstair.snapshots.delta import apply_delta, decode
 from fordstair.snapshots.snapshot import Snapshot
 from tests.scenes import play
@@ -283,6 +285,35 @@
     play(scene)
 
 
+def test_the_consoles_path_appears_once_its_socket_listens(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a console that finds the path and is refused, and a second program that removes it.
+    path = str(tmp_path / "console.sock")
+    found: list[bool] = []
+
+    async def scene() -> None:
+        with trio.socket.socket() as sock:
+            socket_type = type(sock)
+        listen = socket_type.listen
+
+        def looked_at(sock: trio.socket.SocketType, backlog: int) -> None:
+            found.append(os.path.exists(path))
+            listen(sock, backlog)
+
+        monkeypatch.setattr(socket_type, "listen", looked_at)
+        listener = await console_socket.listen(path)
+        assert found == [False]
+        assert [each.name for each in tmp_path.iterdir()] == ["console.sock"]
+        async with await trio.open_unix_socket(path):
+            pass
+        with pytest.raises(ConfigError, match="another program"):
+            await console_socket.listen(path)
+        await listener.aclose()
+
+    play(scene)
+
+
 def test_a_blocked_log_stalls_no_request(tmp_path: Path) -> None:
     async def scene() -> None:
         one = StandIn("engine-0", Machine(8.0))
