Fix rejections after a stall: let two arrivals pass to the decision module in a turn

Callers were rejected as 'threads are full' at idle engines: what had come in a pause was handed on in one turn, and counted as in flight before any of it could be sent.

The new test with 90 requests at once on open connections is rejected in part before.

--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -13,6 +13,7 @@
 import trio
 
 from fordstair.core.action_dispatcher import ActionDispatcher
+from fordstair.core.arrival_pacer import ArrivalPacer
 from fordstair.core.attempt_executor import AttemptExecutor
 from fordstair.core.engine_registry import EngineRegistry
 from fordstair.core.extensions import Extensions
@@ -83,6 +84,7 @@
             self.extensions,
             self.dispatch,
         )
+        self._pacer = ArrivalPacer()
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -103,6 +105,7 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run the nursery of all requests' tasks, until cancelled."""
         async with trio.open_nursery() as self._nursery:
+            self._nursery.start_soon(self._pacer.run)
             task_status.started()
             await trio.sleep_forever()
 
@@ -136,6 +139,7 @@
     def withdraw_all(self) -> None:
         """The program ends: the decision module answers every request that is still open, or comes yet."""
         self.withdrawn = True
+        self._pacer.release_all()
         queue = self.extensions.admission_queue
         for live in list(self.requests.unanswered()):
             if queue is None or not queue.withdraw(live):
@@ -206,6 +210,9 @@
 
     async def _run(self, live: LiveRequest) -> None:
         """One request from its arrival to its single final answer."""
+        if not (live.finished or self.withdrawn or self._pacer.pass_now()):
+            with self.deadlines.limit(live.deadline_ms):  # past it, it is answered at once
+                await self._pacer.wait()
         if live.finished:  # withdrawn before its turn came: the decision module must not plan for it
             return
         queue = self.extensions.admission_queue
--- a/fordstair/net/clients/listener.py
+++ b/fordstair/net/clients/listener.py
@@ -19,7 +19,7 @@
 
 OPEN_TIMEOUT_MS = 10_000.0  # for a listening socket to be had at the start
 MAX_ACCEPTS_PER_TURN = 512  # of the event loop
-SERVED_PER_TURN = 4  # clients that are begun to be served in a turn
+SERVED_PER_TURN = 1  # clients that are begun to be served in a turn: open connections go on beside a flood
 
 # Serves one client; the second argument is how long at most, in ms, it was connected before.
 Serve = Callable[[trio.SocketStream, float], Awaitable[None]]
@@ -108,12 +108,14 @@
             await trio.lowlevel.checkpoint()
 
     def _accept_waiting(self) -> bool:
-        """Accept who waits, at least one and no more than there is room for; return whether nobody is left.
+        """Accept who waits, as many as there is room for; return whether nobody is left.
 
-        Raise OSError where accept fails.
+        Where there is no room, one is accepted for which the front may shed another. Raise OSError where
+        accept fails.
         """
         room = self._max_clients() - self.open_connections
-        for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, room))):
+        least = 0 if self._accepted else 1
+        for _ in range(min(MAX_ACCEPTS_PER_TURN, max(least, room))):
             accepted = self._accept_now()
             if accepted is None:
                 self._connected_after_ms = self._deadlines.clock()
--- a/tests/test_connection_bursts.py
+++ b/tests/test_connection_bursts.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections import Counter
 
+import msgpack
 import pytest
 import trio
 from trio.testing import wait_all_tasks_blocked
@@ -17,10 +19,13 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from tests.scenes import ROWS, hold_reads, play, until
-from tests.standins import config, connect, engine, inside
+from tests.standins import config, connect, engine, inside, never
 
 SLACK_MS = 150.0  # by which a limit may exceed what the client has left
 ACCEPTED_WITHIN_MS = 250.0
+AT_ONCE = 30  # requests on one connection
+TURNS_TO_ANSWER = 3  # that a request takes which is released
+STARTS = range(0, 20, SERVED_PER_TURN)  # of the groups of 20 clients that are begun to be served in a turn
 
 
 @pytest.mark.parametrize("front", [RPC, ODATA])
@@ -109,8 +114,8 @@
     burst = play_listener(20, max_clients=100)
     assert burst.open[0] == 20
     assert max(burst.turns.values()) == SERVED_PER_TURN
-    groups = [{int(text) for text in burst.texts[at : at + SERVED_PER_TURN]} for at in range(0, 20, 4)]
-    assert groups == [set(range(at, at + SERVED_PER_TURN)) for at in range(0, 20, 4)]
+    groups = [{int(text) for text in burst.texts[at : at + SERVED_PER_TURN]} for at in STARTS]
+    assert groups == [set(range(at, at + SERVED_PER_TURN)) for at in STARTS]
     assert set(burst.waits_ms) == {800.0}
 
 
@@ -172,3 +177,70 @@
 
     monkeypatch.setattr(trio.SocketStream, "receive_some", late)
     trio.run(scene)
+
+
+def test_requests_that_come_at_once_on_open_connections_are_not_all_counted_before_one_can_end() -> None:
+    # Guards against rejections after a stall: all that came in it filled the threads in one turn.
+    async def scene() -> None:
+        async with engine() as one, inside(config(one.address)) as node:
+            clients = [await connect(node) for _ in range(3)]
+            for number, client in enumerate(clients):
+                assert await client.answer(await client.ask(txn=f"a{number:015x}")) == (None, ROWS)
+            for number, client in enumerate(clients):  # written before the program has a turn
+                sent = b"".join(
+                    request(client.last + 1 + each, f"{number:08x}{each:08x}") for each in range(AT_ONCE)
+                )
+                os.write(client.stream.socket.fileno(), sent)
+            answers = [await client.answer(2 + each) for client in clients for each in range(AT_ONCE)]
+            assert answers == [(None, ROWS)] * len(answers)
+
+    play(scene)
+
+
+def test_a_request_on_an_open_connection_does_not_wait_for_a_flood_of_new_ones() -> None:
+    # Guards against a line in which who is served already stands behind all who come at once.
+    flood = 150
+
+    async def scene() -> None:
+        async with engine() as one, inside(config(one.address)) as node:
+            client = await connect(node)
+            assert await client.answer(await client.ask()) == (None, ROWS)
+            address = node.listeners[0].socket.getsockname()
+            others = [socket.create_connection(address) for _ in range(flood)]
+            for number, other in enumerate(others):
+                other.sendall(request(1, f"{number:016x}"))
+            os.write(client.stream.socket.fileno(), request(2, "f" * 16))
+            assert await client.answer(2) == (None, ROWS)
+            assert node.counters["taken.lookup"] < flood / 3
+            for other in others:
+                other.close()
+
+    play(scene)
+
+
+def test_what_waits_for_its_turn_when_the_program_ends_is_answered_in_the_next_one() -> None:
+    # Guards against a drain whose time is over before the last of a burst has had its turn.
+    async def scene() -> None:
+        async with engine(never) as one, inside(config(one.address)) as node:
+            client = await connect(node)
+            sent = b"".join(request(number, f"{number:016x}") for number in range(1, AT_ONCE + 1))
+            os.write(client.stream.socket.fileno(), sent)
+            await until(lambda: node.coordinator.open_count == AT_ONCE)
+            taken = len(node.coordinator.gateway.requests)
+            assert taken < AT_ONCE
+            node.coordinator.withdraw_all()
+            turns = Turns()
+            trio.lowlevel.add_instrument(turns)
+            while node.coordinator.open_count:
+                await trio.lowlevel.checkpoint()
+            assert turns.count <= TURNS_TO_ANSWER
+            for number in range(1, AT_ONCE + 1):
+                assert (await client.answer(number))[0][0] == "Overloaded"
+
+    play(scene)
+
+
+def request(number: int, txn: str) -> bytes:
+    """Return a small lookup."""
+    fields = {"txn": txn, "limit": "3000", "team": "karri-energy", "cpu": "5.0", "need_mb": "16"}
+    return bytes(msgpack.packb([0, number, "lookup", [fields, b"SELECT a FROM sales_17.orders"]]))
