Fix the key of order that was dropped: hand a client's item on to its engine

A client's field item, by which requests keep their order, was read by nobody; engines expect it as X-Name. It is handed on byte for byte in each attempt of every class, and one that no header can carry is rejected by name. The field test of all classes of the variants asserts it and fails before.

--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -26,6 +26,7 @@
     memory_mb: float = 0.0  # estimated; 0: no estimate
     read_delay_ms: float = 0.0  # part of the timeout that passed before the request was read here
     idempotency_key: str = ""  # of a class with keys; the same in each retry of the client
+    ordering_key: str = ""  # as the client names it: requests with the same one keep their order
 
 
 @dataclass(slots=True)
--- a/fordstair/net/clients/rpc_query.py
+++ b/fordstair/net/clients/rpc_query.py
@@ -16,13 +16,14 @@
 _COST_MS = b"cpu"
 _MEMORY_MB = b"need_mb"
 _IDEMPOTENCY_KEY = b"unique"
+_ORDERING_KEY = b"item"
 _PARAMETERS = 2  # a map of fields, and the statement
 
 # float() takes more than engines do: signs, exponents, nan, underscores.
 _NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?", re.ASCII)
 _TRANSACTION_ID_FORM = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
 # What an HTTP header carries without a change: it goes on to the engine byte for byte.
-_IDEMPOTENCY_KEY_FORM = re.compile(r"[!-~](?:[ -~]{0,254}[!-~])?", re.ASCII)
+_KEY_FORM = re.compile(r"[!-~](?:[ -~]{0,254}[!-~])?", re.ASCII)
 
 
 class InvalidRequestError(Exception):
@@ -55,6 +56,7 @@
         _number(fields, _MEMORY_MB, 0.0),
         read_delay_ms,
         _read_idempotency_key(fields, method, coordinator),
+        _read_key(fields, _ORDERING_KEY) if _ORDERING_KEY in fields else "",
     )
 
 
@@ -72,9 +74,13 @@
     spec = coordinator.settings.classes[coordinator.classes[class_name]]
     if spec.idempotency is not Idempotency.WITH_KEY:
         return ""
-    key = _text(fields, _IDEMPOTENCY_KEY)
-    if not _IDEMPOTENCY_KEY_FORM.fullmatch(key):
-        raise InvalidRequestError(f"{_IDEMPOTENCY_KEY.decode()} must be 1 to 256 printable characters")
+    return _read_key(fields, _IDEMPOTENCY_KEY)
+
+
+def _read_key(fields: dict[Any, Any], name: bytes) -> str:
+    key = _text(fields, name)
+    if not _KEY_FORM.fullmatch(key):
+        raise InvalidRequestError(f"{name.decode()} must be 1 to 256 printable characters")
     return key
 
 
--- a/fordstair/net/engines/rest_wire.py
+++ b/fordstair/net/engines/rest_wire.py
@@ -19,6 +19,7 @@
 _REQUEST_ID = "X-Txn"
 _REQUEST_CLASS = "X-Lane"
 _IDEMPOTENCY_KEY = "X-Dedupe"
+_ORDERING_KEY = "X-Name"
 _TIME_LIMIT_MS = "X-Limit-Ms"
 _PRIORITY = "X-Urgency"
 _LOAD_REPORT = b"x-gauges"
@@ -43,7 +44,7 @@
 
 
 def start_request(query: Query, limit_ms: int, priority: int) -> HttpRequest:
-    """Return the POST that starts a query; id, class, key and statement go out as they came."""
+    """Return the POST that starts a query; id, class, keys and statement go out as they came."""
     headers = [
         (_REQUEST_ID, query.transaction_id),
         (_REQUEST_CLASS, query.class_name),
@@ -52,6 +53,8 @@
     ]
     if query.idempotency_key:
         headers.append((_IDEMPOTENCY_KEY, query.idempotency_key))
+    if query.ordering_key:
+        headers.append((_ORDERING_KEY, query.ordering_key))
     return HttpRequest("POST", QUERIES_PATH, headers, query.statement)
 
 
--- a/tests/test_rpc_requests.py
+++ b/tests/test_rpc_requests.py
@@ -72,6 +72,7 @@
     # Guards against a field that is dropped or changed on its way, in the first attempt or in a retry.
     txn = "9B1f03aa5c7e2d41"
     key = '55CF3773/28d8 d2bd;4c"63=~0a,\\x'
+    item = 'meter "7", b\\c'
     statement = b"SELECT '\xc3\xa9\xff\x00' FROM sales_17.orders -- \r\n"
 
     async def scene() -> None:
@@ -81,18 +82,35 @@
             program(config(one.address, settings=told["settings"])) as node,
         ):
             client = await node.client()
-            number = await client.ask(spec["name"], body=statement, txn=txn, unique=key, limit="1500")
+            number = await client.ask(
+                spec["name"], body=statement, txn=txn, unique=key, item=item, limit="1500"
+            )
             assert await client.answer(number) == (None, ROWS)
             assert len(one.posts) == 2
             for headers, body in one.posts:
                 assert headers["x-txn"] == txn
                 assert headers["x-lane"] == spec["name"]
                 assert headers.get("x-dedupe") == (key if spec["effect"] == "keyed" else None)
+                assert headers["x-name"] == item
                 assert body == statement
 
     play(scene)
 
 
+@pytest.mark.parametrize("key", ["", "a\r\nX-Lane: b", "\u00e9"])
+def test_a_key_of_order_that_cannot_be_passed_on_is_named(key: str) -> None:
+    # Guards against a request whose engine is told another order than its client meant, or a header injected.
+    async def scene() -> None:
+        async with engine() as one, program(config(one.address)) as node:
+            client = await node.client()
+            error, _ = await client.answer(await client.ask(item=key))
+            assert error[0] == "Invalid"
+            assert "item" in error[1]["reason"]
+            assert not one.posts
+
+    play(scene)
+
+
 @pytest.mark.parametrize("key", [None, "", " a", "a ", "a\r\nX-Lane: b", "\u00e9", "a" * 257])
 def test_a_class_with_keys_needs_one_that_can_be_passed_on(key: str | None) -> None:
     # Guards against a load that its engine cannot tell from its own repeat, and against a header injected.
