Fix announced engines that look warm to a clock ahead: date starts by discovery alone

A start that discovery announced and that seemed under 60 s old was dated by the wall clock, and one that was ahead before the start made a cold engine look warm. An engine that is listed has started, so each start that is seen bounds the difference of the clocks, and the least bound dates all; no wall clock is read.

--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -101,7 +101,7 @@
             self.budgets,
         )
         self.intake = EngineListIntake(
-            self.coordinator, StartTimes(self.anchor), operator.engines if operator is not None else {}
+            self.coordinator, StartTimes(), operator.engines if operator is not None else {}
         )
         self.command_channel = EngineListWatch(
             config.channel, config.cursor, self.intake.from_discovery, self.deadlines, self.counters
