--- a/fordstair/core/arrival_pacer.py
+++ b/fordstair/core/arrival_pacer.py
@@ -10,15 +10,19 @@
 
 import trio
 
-ARRIVALS_PER_TURN = 2
+ARRIVALS_PER_TURN = 2  # one from clients that were here before, and one from new ones, where both wait
 
 
 class ArrivalPacer:
-    """Lets ARRIVALS_PER_TURN requests pass in one turn of the event loop; the others wait in their order."""
+    """Lets ARRIVALS_PER_TURN requests pass in one turn of the event loop; the others wait in their order.
+
+    The first requests of new clients wait in a line of their own: in a flood of them the others go on.
+    """
 
     def __init__(self) -> None:
         self._passed = 0  # in this turn
-        self._waiting: deque[trio.Event] = deque()
+        self._known: deque[trio.Event] = deque()  # of clients that have had a request before
+        self._new: deque[trio.Event] = deque()
         self._wakeup = trio.Event()  # set once something has passed in this turn
 
     async def run(self) -> None:
@@ -27,33 +31,42 @@
             await self._wakeup.wait()
             self._wakeup = trio.Event()
             self._passed = 0
-            while self._waiting and self._passed < ARRIVALS_PER_TURN:
-                self._waiting.popleft().set()
-                self._note_passed()
+            self._release(self._known, ARRIVALS_PER_TURN - 1)
+            self._release(self._new, ARRIVALS_PER_TURN - self._passed)
+            self._release(self._known, ARRIVALS_PER_TURN - self._passed)
             await trio.lowlevel.checkpoint()
 
-    def pass_now(self) -> bool:
-        """Let a request pass if nobody waits and the turn has room; return whether it has passed."""
-        if self._waiting or self._passed >= ARRIVALS_PER_TURN:
+    def pass_now(self, *, new_client: bool) -> bool:
+        """Let a request pass if none of its line waits and the turn has room; return whether it may."""
+        if self._line(new_client) or self._passed >= ARRIVALS_PER_TURN:
             return False
         self._note_passed()
         return True
 
-    async def wait(self) -> None:
-        """Wait behind the others until one more request may pass."""
+    async def wait(self, *, new_client: bool) -> None:
+        """Wait behind the others of its line until one more request may pass."""
+        line = self._line(new_client)
         may_pass = trio.Event()
-        self._waiting.append(may_pass)
+        line.append(may_pass)
         try:
             await may_pass.wait()
         except trio.Cancelled:
             if not may_pass.is_set():
-                self._waiting.remove(may_pass)
+                line.remove(may_pass)
             raise
 
     def release_all(self) -> None:
         """Let all pass that wait now."""
-        while self._waiting:
-            self._waiting.popleft().set()
+        self._release(self._known, len(self._known))
+        self._release(self._new, len(self._new))
+
+    def _line(self, new_client: bool) -> deque[trio.Event]:
+        return self._new if new_client else self._known
+
+    def _release(self, line: deque[trio.Event], count: int) -> None:
+        for _ in range(min(count, len(line))):
+            line.popleft().set()
+            self._note_passed()
 
     def _note_passed(self) -> None:
         self._passed += 1
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -210,9 +210,10 @@
 
     async def _run(self, live: LiveRequest) -> None:
         """One request from its arrival to its single final answer."""
-        if not (live.finished or self.withdrawn or self._pacer.pass_now()):
+        new_client = live.query.from_new_client
+        if not (live.finished or self.withdrawn or self._pacer.pass_now(new_client=new_client)):
             with self.deadlines.limit(live.deadline_ms):  # past it, it is answered at once
-                await self._pacer.wait()
+                await self._pacer.wait(new_client=new_client)
         if live.finished:  # withdrawn before its turn came: the decision module must not plan for it
             return
         queue = self.extensions.admission_queue
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -27,6 +27,7 @@
     read_delay_ms: float = 0.0  # part of the timeout that passed before the request was read here
     idempotency_key: str = ""  # of a class with keys; the same in each retry of the client
     ordering_key: str = ""  # as the client names it: requests with the same one keep their order
+    from_new_client: bool = False  # the first one on its connection
 
 
 @dataclass(slots=True)
--- a/fordstair/net/clients/listener.py
+++ b/fordstair/net/clients/listener.py
@@ -19,7 +19,7 @@
 
 OPEN_TIMEOUT_MS = 10_000.0  # for a listening socket to be had at the start
 MAX_ACCEPTS_PER_TURN = 512  # of the event loop
-SERVED_PER_TURN = 1  # clients that are begun to be served in a turn: open connections go on beside a flood
+SERVED_PER_TURN = 16  # clients that are begun to be served in a turn
 
 # Serves one client; the second argument is how long at most, in ms, it was connected before.
 Serve = Callable[[trio.SocketStream, float], Awaitable[None]]
--- a/fordstair/net/clients/odata_statements.py
+++ b/fordstair/net/clients/odata_statements.py
@@ -73,6 +73,7 @@
         self._in_batch = False
         self._batch_deadline_ms = math.inf  # when the client stops waiting for the batch that is worked on
         self._live: LiveRequest | None = None
+        self._has_run = False  # a statement, before
         self._reply = PendingReply()
 
     def disconnect(self) -> None:
@@ -108,6 +109,7 @@
             raise ClientDisconnectedError
         self._reply = PendingReply()
         self._live = live = coordinator.submit(self._query(statement), self._reply)
+        self._has_run = True
         try:
             await self._reply.done.wait()
         finally:
@@ -136,6 +138,7 @@
             statement.entity_set.memory_mb,
             self._waited_ms(),
             idempotency_key=_new_idempotency_key(spec),
+            from_new_client=not self._has_run,
         )
 
     def _waited_ms(self) -> float:
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -317,7 +317,14 @@
             return
         read_delay_ms = self._read_delay.last_ms + self.deadlines.clock() - self._received_ms
         try:
-            query = read_query(method, params, self.coordinator, self.max_statement_bytes, read_delay_ms)
+            query = read_query(
+                method,
+                params,
+                self.coordinator,
+                self.max_statement_bytes,
+                read_delay_ms,
+                from_new_client=not self.has_requested,
+            )
         except InvalidRequestError as error:
             self._reject(number, str(error))
             return
--- a/fordstair/net/clients/rpc_query.py
+++ b/fordstair/net/clients/rpc_query.py
@@ -31,7 +31,13 @@
 
 
 def read_query(
-    method: str, params: Any, coordinator: Coordinator, max_statement_bytes: int, read_delay_ms: float = 0.0
+    method: str,
+    params: Any,
+    coordinator: Coordinator,
+    max_statement_bytes: int,
+    read_delay_ms: float = 0.0,
+    *,
+    from_new_client: bool = False,
 ) -> Query:
     """Read a request's fields and statement; raise InvalidRequestError, naming what cannot be used."""
     if method not in coordinator.classes:
@@ -57,6 +63,7 @@
         read_delay_ms,
         _read_idempotency_key(fields, method, coordinator),
         _read_key(fields, _ORDERING_KEY) if _ORDERING_KEY in fields else "",
+        from_new_client,
     )
 
 
