--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -33,6 +33,7 @@
 
 READ_BYTES = 65_536
 MAX_PAGE_BYTES = 6_000
+DEFAULT_WORK_MS = 1.0  # of a statement that says nothing of it
 MAX_ENDED_RUNS = 4_096  # that are still answered for
 _COSTS = re.compile(rb"/\* work=(\d+(?:\.\d+)?)(?: rows=(\d+))? \*/")
 Answer: TypeAlias = tuple[int, list[tuple[str, str]], bytes]  # status, headers, body
@@ -118,6 +119,9 @@
         self.silent = False
         self._spoken.set()
 
+    def begins(self, stream: trio.SocketStream) -> None:
+        """Called as the first bytes of a call have come; for those who look on."""
+
     def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
         """Called as each call has come whole, before it is taken up; for those who look on."""
 
@@ -181,7 +185,10 @@
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    http.receive_data(await stream.receive_some(READ_BYTES))
+                    data = await stream.receive_some(READ_BYTES)
+                    if http.their_state is h11.IDLE:
+                        self.begins(stream)
+                    http.receive_data(data)
                 elif isinstance(event, h11.Request):
                     request = event
                     body = bytearray()
@@ -264,8 +271,7 @@
         if txn in self.runs:
             self.counts["second_attempts"] += 1
             return 500, [self._gauges()], b""
-        costs = _COSTS.search(body)
-        work, rows = (float(costs[1]), int(costs[2] or 1)) if costs else (1.0, 1)
+        work, rows = work_of(body), rows_of(body)
         now = self.clock()
         self.started[txn] += 1
         self.counts[f"started.{class_name}"] += 1
@@ -312,6 +318,18 @@
     return {name.decode(): value.decode() for name, value in request.headers}
 
 
+def work_of(statement: bytes) -> float:
+    """Return what a statement says that it costs, in milliseconds on one core."""
+    costs = _COSTS.search(statement)
+    return float(costs[1]) if costs else DEFAULT_WORK_MS
+
+
+def rows_of(statement: bytes) -> int:
+    """Return how many rows a statement says that it has."""
+    costs = _COSTS.search(statement)
+    return int(costs[2] or 1) if costs else 1
+
+
 def pages_of(txn: str, rows: int) -> list[bytes]:
     """Return that many rows of three columns, as pages of whole rows."""
     pages = list[bytes]()
--- a/fordstair/lab/fault_shim.py
+++ b/fordstair/lab/fault_shim.py
@@ -38,6 +38,7 @@
 TIMED_LOG_VARIABLE = "FORDSTAIR_TIMED_LOG"
 TIME_MARK = "@"  # before the time of a log line
 APPLIED = "fault_shim: applied"
+FAILED = "fault_shim: failed"  # then the monotonic clock, the call, and the port of the connection's peer
 NETWORK_FAMILIES = (socket.AF_INET, socket.AF_INET6)  # trio wakes itself by a socket pair, which never fails
 
 
@@ -92,11 +93,11 @@
             true_init(sock, family, type, proto, fileno)
 
         def received(sock: Any, size: int, *flags: int) -> bytes:
-            most = self._shorten("recv", size) if sock.family in NETWORK_FAMILIES else size
+            most = self._shorten("recv", size, sock) if sock.family in NETWORK_FAMILIES else size
             return bytes(true_recv(sock, most, *flags))
 
         def sent(sock: Any, data: bytes, *flags: int) -> int:
-            most = self._shorten("send", len(data)) if sock.family in NETWORK_FAMILIES else len(data)
+            most = self._shorten("send", len(data), sock) if sock.family in NETWORK_FAMILIES else len(data)
             return int(true_send(sock, memoryview(data)[:most], *flags))
 
         kind.__init__ = opened
@@ -118,11 +119,22 @@
             number = getattr(errno, fault["errno"])
             raise OSError(number, os.strerror(number))
 
-    def _shorten(self, name: str, size: int) -> int:
-        self._fail(name)
+    def _shorten(self, name: str, size: int, sock: socket.socket) -> int:
+        try:
+            self._fail(name)
+        except OSError:
+            print(f"{FAILED} {time.monotonic():.4f} {name} {_peer_port(sock)}", file=sys.stderr, flush=True)
+            raise
         return min(size, int(self.calls.get(name, {}).get("short", size)))
 
 
+def _peer_port(sock: socket.socket) -> int:
+    try:
+        return int(sock.getpeername()[1])
+    except OSError:  # its peer has gone
+        return 0
+
+
 def log_with_times() -> None:
     """Have every event of the program logged, with the monotonic clock before its name."""
     make_record = logging.getLogRecordFactory()
--- a/fordstair/lab/soak/__main__.py
+++ b/fordstair/lab/soak/__main__.py
@@ -6,10 +6,13 @@
 import sys
 from dataclasses import replace
 
+from fordstair.lab.soak.judgement import Judgement
 from fordstair.lab.soak.run import MAX_LAG_S, Plan, soak
 
 CROWD = 200  # idle and half-written connections to one coordinator
 CROWD_EVERY = 5  # seeds
+BURSTS_EVERY = 5  # seeds
+BURSTS_AT = 3  # the remainder of these
 
 
 def main() -> int:
@@ -31,14 +34,19 @@
     )
     broken = list[int]()
     late = list[int]()
+    judgement = Judgement()
     for seed in range(int(first), int(last or first) + 1):
         crowd = options.crowd if seed % CROWD_EVERY == 0 else 0
-        report = soak(replace(plan, seed=seed, crowd=crowd))
+        report = soak(replace(plan, seed=seed, crowd=crowd, bursts=seed % BURSTS_EVERY == BURSTS_AT))
         print(report, flush=True)
+        judgement.add(report.judgement)
         if report.record.worst_lag_s > MAX_LAG_S:
             late.append(seed)  # the machine was too busy to judge
         elif report.violations:
             broken.append(seed)
+    print("all seeds:")
+    for line in judgement.lines():
+        print(f"  {line}")
     print(f"seeds with violations: {broken or 'none'}")
     print(f"seeds not judged, since the machine was too busy: {late or 'none'}")
     return 1 if broken or late else 0
--- a/fordstair/lab/soak/clients.py
+++ b/fordstair/lab/soak/clients.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import math
+import socket
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgpack
 import trio
 
+from fordstair.lab.kernel_times import data_age_s
 from fordstair.lab.soak.coordinators import HOST, SoakCoordinator
 from fordstair.lab.soak.records import RequestRecord, SoakRecord
+from fordstair.lab.soak.request_kinds import KINDS
 
 READ_BYTES = 65_536
+BURST_CONNECT_TIMEOUT_S = 1.0  # where the listener's backlog is full
 MAX_OPEN = 24  # requests on one connection
 REUSE_SHARE = 0.9  # of the requests, on an open connection
 GRACE_S = 3.0  # beyond the longest limit, for the last answers
@@ -23,22 +28,6 @@
 TEAM = "karri-energy"
 
 
-class RequestKind(NamedTuple):
-    """One kind of request that clients draw from."""
-
-    class_name: str
-    share: float
-    mean_work_ms: float
-    limit_s: float
-
-
-KINDS = (
-    RequestKind("lookup", 0.65, 40.0, 4.0),
-    RequestKind("settlement", 0.1, 300.0, 6.0),
-    RequestKind("meter-load", 0.25, 1_500.0, 6.0),
-)
-
-
 class Connection:
     """One connection of a client."""
 
@@ -51,6 +40,24 @@
         self.requests: dict[int, RequestRecord] = {}
         self.over = False
 
+    def begin(self, request: RequestRecord) -> tuple[int, bytes]:
+        """Open a request here, before it is written: its answer may come at once; return id and message."""
+        self.last += 1
+        request.first = self.last == 1
+        request.client_port = self.port
+        request.sent_s = math.inf
+        self.open[self.last] = request
+        self.requests[self.last] = request
+        fields = {
+            "txn": request.txn,
+            "limit": str(int(request.limit_s * 1e3)),
+            "team": TEAM,
+            "cpu": f"{request.cost_ms:.1f}",
+            "need_mb": "16",
+        }
+        message = [0, self.last, request.class_name, [fields, request.statement]]
+        return self.last, bytes(msgpack.packb(message))
+
 
 class Clients:
     """All clients of one coordinator."""
@@ -69,6 +76,8 @@
         self._random = Random(seed)
         self._start_s = start_s
         self._connections: list[Connection] = []
+        self._nursery: trio.Nursery  # while the run lasts
+        self._until_s = -math.inf
         self._salt = self._random.getrandbits(32)
         self._number = 0
 
@@ -78,6 +87,8 @@
     async def run(self, until_s: float) -> None:
         """Send requests until that time, and wait for what is open."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._until_s = until_s
             while self._now_s() < until_s:
                 await trio.sleep(self._random.expovariate(self._rate))
                 if self._coordinator.ready:
@@ -91,38 +102,47 @@
     async def _send(self, nursery: trio.Nursery) -> None:
         if (connection := await self._connection(nursery)) is None:
             return
-        kind = self._random.choices(KINDS, [kind.share for kind in KINDS])[0]
-        limit_s = kind.limit_s
-        if self._random.random() < TIGHT_SHARE:
-            limit_s = TIGHT_S
-        self._number += 1
-        txn = f"{self._salt:08x}{self._number:08x}"
-        work_ms = self._random.expovariate(1.0 / kind.mean_work_ms)
-        fields = {
-            "txn": txn,
-            "limit": str(int(limit_s * 1e3)),
-            "team": TEAM,
-            "cpu": f"{work_ms + 1.0:.1f}",
-            "need_mb": "16",
-        }
-        body = b"/* work=%.1f rows=2 */ SELECT a FROM t_%d.lines" % (work_ms, self._number % 5)
+        request = self._draw_request()
         async with connection.lock:
             if connection.over:  # its end was noted while another request was written: nothing goes out on it
                 return
-            connection.last += 1
-            number = connection.last
-            request = RequestRecord(txn, kind.class_name, self._coordinator.name, self._now_s(), limit_s)
-            request.first = number == 1
-            request.client_port = connection.port
-            connection.open[number] = request  # before it is written: the answer may come at once
-            connection.requests[number] = request
-            if not await self._write(connection, msgpack.packb([0, number, kind.class_name, [fields, body]])):
+            number, message = connection.begin(request)
+            if not await self._write(connection, message):
                 connection.open.pop(number, None)
                 return  # it was not completely written: nobody owes it an answer
             request.sent_s = min(self._now_s(), *(at_s for at_s, _ in request.answers), request.closed_s)
             self._record.requests.append(request)
         await self._maybe_leave(connection, number, request)
 
+    def _draw_request(self) -> RequestRecord:
+        kind = self._random.choices(KINDS, [kind.share for kind in KINDS])[0]
+        limit_s = TIGHT_S if self._random.random() < TIGHT_SHARE else kind.limit_s
+        self._number += 1
+        txn = f"{self._salt:08x}{self._number:08x}"
+        work_ms = self._random.expovariate(1.0 / kind.mean_work_ms)
+        request = RequestRecord(txn, kind.class_name, self._coordinator.name, self._now_s(), limit_s)
+        request.statement = b"/* work=%.1f rows=2 */ SELECT a FROM t_%d.lines" % (work_ms, self._number % 5)
+        request.cost_ms = work_ms + 1.0
+        return request
+
+    def burst(self, connections: int) -> None:
+        """Open that many connections with a request each, one right after the other, while the run lasts."""
+        if self._now_s() >= self._until_s:
+            return
+        for _ in range(connections):
+            request = self._draw_request()
+            try:
+                sock = socket.create_connection((HOST, self._coordinator.port), BURST_CONNECT_TIMEOUT_S)
+                connection = Connection(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+                number, message = connection.begin(request)
+                sock.sendall(message)
+            except OSError:
+                return
+            request.sent_s = self._now_s()
+            self._record.requests.append(request)
+            self._connections.append(connection)
+            self._nursery.start_soon(self._read, connection)
+
     async def _write(self, connection: Connection, data: bytes) -> bool:
         try:
             if self._random.random() < SLOW_SHARE:
@@ -172,9 +192,10 @@
         unpacker = msgpack.Unpacker()
         try:
             while chunk := await connection.stream.receive_some(READ_BYTES):
+                arrived_s = self._now_s() - data_age_s(connection.stream)
                 unpacker.feed(chunk)
                 for message in unpacker:
-                    self._take(connection, message)
+                    self._take(connection, message, arrived_s)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         for request in connection.open.values():
@@ -182,7 +203,7 @@
         connection.open.clear()
         self._drop(connection)
 
-    def _take(self, connection: Connection, message: Any) -> None:
+    def _take(self, connection: Connection, message: Any, arrived_s: float) -> None:
         _, number, error, result = message
         connection.open.pop(number, None)
         if (request := connection.requests.get(number)) is None:
@@ -190,7 +211,9 @@
         how = "served" if error is None else "refused" if error[0] == "Overloaded" else "failed"
         if how == "served" and result[0].count(request.txn.encode()) != 2:
             how = "spoilt"
-        request.answers.append((self._now_s(), how))
+        if how == "refused":
+            request.retry_after = error[1].get("later")
+        request.answers.append((arrived_s, how))
 
     def _drop(self, connection: Connection) -> None:
         connection.over = True
--- a/fordstair/lab/soak/coordinators.py
+++ b/fordstair/lab/soak/coordinators.py
@@ -6,7 +6,7 @@
 import os
 import re
 import signal
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -16,10 +16,19 @@
 import ujson
 
 from fordstair.lab.coordinator_process import POLL_S, CoordinatorProcess
-from fordstair.lab.fault_shim import APPLIED, ENVIRONMENT_VARIABLE, TIMED_LOG_VARIABLE
+from fordstair.lab.fault_shim import APPLIED, ENVIRONMENT_VARIABLE, FAILED, TIMED_LOG_VARIABLE
 from fordstair.lab.soak.core_wait import CoreWaitSampler
 from fordstair.lab.soak.plan import Fault, FaultKind, TimedSignal
-from fordstair.lab.soak.records import CoordinatorEnd, InjectedFault, PlannedEnd, SoakRecord, Span
+from fordstair.lab.soak.records import (
+    CoordinatorEnd,
+    CoordinatorStart,
+    FailedConnection,
+    InjectedFault,
+    PlannedEnd,
+    Resources,
+    SoakRecord,
+    Span,
+)
 
 START_TIMEOUT_S = 20.0
 INTERRUPT_INTERVAL_MS = 2.0  # between signals that interrupt system calls
@@ -28,6 +37,8 @@
 LAST_CLIENTS_S = (0.2, 0.4)  # new clients still come for so long after SIGTERM
 CROWDED_SOCKETS = 192  # descriptors of a coordinator that a crowd is to fill
 USUAL_SOCKETS = 1_024
+MEMORY_MB = 192
+KB_PER_MB = 1_024.0
 SHIM_TIMEOUT_S = 2.0  # for the shim to apply its faults: it may be paused, or may have ended meanwhile
 LOGGED_CHARS = 120  # of a line of a log, in a report
 LOGGED_LINES = 30  # from one that no run may show: a traceback
@@ -39,11 +50,21 @@
 )
 
 
+_PEAK_MEMORY = re.compile(r"^VmHWM:\s*(\d+) kB", re.M)
+_FAILED_CALL = re.compile(rf"^{FAILED} (\d+\.\d+) \w+ (\d+)$", re.M)
+
+
 class SoakCoordinator:
     """A name, an address, and the process that has them now, under the fault shim."""
 
     def __init__(
-        self, name: str, port: int, folder: Path, settings: dict[str, Any], record: SoakRecord
+        self,
+        name: str,
+        port: int,
+        folder: Path,
+        settings: dict[str, Any],
+        record: SoakRecord,
+        now_s: Callable[[], float],
     ) -> None:
         self.name = name
         self.port = port
@@ -53,6 +74,7 @@
         self._shim_ready = False  # whether the shim is in place and follows its signal
         self._settings = settings
         self._record = record
+        self._now_s = now_s
         self._config = folder / f"{name}.json"
         self._faults = folder / f"{name}.faults.json"
         self._log = folder / f"{name}.log"
@@ -69,6 +91,8 @@
         starts = self._text().count(READY_MARK)
         self._end_expected = False
         self._shim_ready = False
+        start = CoordinatorStart(self.name, self._now_s())
+        self._record.starts.append(start)
         begun = self._begun
         environ = {
             "RELAY_CONFIG": str(self._config),
@@ -83,6 +107,9 @@
             while self._text().count(READY_MARK) == starts and self._runs():
                 await trio.sleep(POLL_S)
             self._shim_ready = self._runs()
+            if self._shim_ready:
+                start.ready_s = self._now_s()
+            start.signalled = self._end_expected
             await self._apply()  # a fault may have been lifted while there was no shim to tell
             self.ready = self.accepts = self._shim_ready and not self._end_expected
 
@@ -97,7 +124,7 @@
             "listen": f"{HOST}:{self.port}",
             "seed": f"{self.port:x}",
             "channel": channel,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self.sockets},
             "known": known,
             "settings": self._settings,
         }
@@ -231,6 +258,23 @@
             _, waited_ns, _ = Path(f"/proc/{self._process.pid}/schedstat").read_text().split()
             self._core_wait.sample(self._process.pid, now_s, int(waited_ns) / 1e9)
 
+    def sample_resources(self) -> None:
+        """Note how many descriptors the process has open, and the most memory that it has had."""
+        if self._process is None:
+            return
+        used = self._record.resources.setdefault(self.name, Resources())
+        folder = Path(f"/proc/{self._process.pid}")
+        with suppress(OSError):
+            used.descriptors = max(used.descriptors, len(os.listdir(folder / "fd")))
+            if (peak := _PEAK_MEMORY.search((folder / "status").read_text())) is not None:
+                used.memory_mb = max(used.memory_mb, int(peak[1]) / KB_PER_MB)
+
+    def read_failed_connections(self) -> None:
+        """Note which of its connections the shim has failed."""
+        for at_s, port in _FAILED_CALL.findall(self._text()):
+            failed = FailedConnection(self.name, int(port), float(at_s) - self._record.clock_base_s)
+            self._record.failed_connections.append(failed)
+
     def read_log(self) -> None:
         """Note the lines of its log that no run may show."""
         lines = self._text().splitlines()
--- a/fordstair/lab/soak/engines.py
+++ b/fordstair/lab/soak/engines.py
@@ -2,27 +2,30 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
+from contextlib import suppress
+from weakref import WeakKeyDictionary
 
 import trio
 
 from fordstair.lab.engine import Run, StandIn
 from fordstair.lab.kernel_times import data_age_s
 from fordstair.lab.machine import Machine
+from fordstair.lab.soak.plan import ENGINE_CORES
 from fordstair.lab.soak.records import AttemptRecord, SoakRecord
 
-CORES = 8.0
-
 
 class WatchedEngine(StandIn):
     """An engine whose attempts stand in the record of a run."""
 
     def __init__(self, name: str, record: SoakRecord, start_s: float) -> None:
-        super().__init__(name, Machine(cores=CORES))
+        super().__init__(name, Machine(cores=ENGINE_CORES))
         self._record = record
         self._start_s = start_s
         self._latest: dict[str, AttemptRecord] = {}
-        self._came_on: dict[trio.SocketStream, AttemptRecord] = {}  # the latest on each connection
+        self._came_on: WeakKeyDictionary[trio.SocketStream, AttemptRecord] = WeakKeyDictionary()  # the latest
+        self._first_byte_s: WeakKeyDictionary[trio.SocketStream, float] = WeakKeyDictionary()
 
     def _now_s(self) -> float:
         return trio.current_time() - self._start_s
@@ -31,12 +34,20 @@
         """Count the time of the run from here on."""
         self._start_s = start_s
 
+    def begins(self, stream: trio.SocketStream) -> None:
+        """Note when the first bytes of a call arrived."""
+        with suppress(OSError, trio.ClosedResourceError):
+            self._first_byte_s[stream] = self._now_s() - data_age_s(stream)
+
     def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
         """Write a POST down that has come whole, also where the engine is silent."""
         if method == "POST":
             txn = fields.get("x-txn", "")
-            arrived_s = self._now_s() - data_age_s(stream)
-            attempt = AttemptRecord(txn, self.name, arrived_s, float(fields.get("x-limit-ms", "nan")))
+            attempt = AttemptRecord(
+                txn, self.name, self._arrival_s(stream), float(fields.get("x-limit-ms", "nan"))
+            )
+            attempt.first_byte_s = self._first_byte_s.get(stream, math.inf)
+            attempt.class_name = fields.get("x-lane", "")
             self._latest[txn] = attempt
             self._came_on[stream] = attempt
             self._record.attempts.append(attempt)
@@ -48,11 +59,19 @@
                 attempt.connection_ended_s = self._now_s()
         super().reset_connections()
 
+    def _arrival_s(self, stream: trio.SocketStream) -> float:
+        """Return when what was read last had arrived; where the connection has just ended, this moment."""
+        try:
+            return self._now_s() - data_age_s(stream)
+        except (OSError, trio.ClosedResourceError):
+            return self._now_s()
+
     async def _post(self, fields: dict[str, str], body: bytes) -> tuple[int, list[tuple[str, str]], bytes]:
         attempt = self._latest[fields.get("x-txn", "")]
         before = self.started[attempt.txn]
         attempt.started_s = self._now_s()
         attempt.how = "runs"
+        attempt.statement = body
         answered = await super()._post(fields, body)
         if self.started[attempt.txn] == before:
             attempt.how = "refused"
--- a/fordstair/lab/soak/oracle.py
+++ b/fordstair/lab/soak/oracle.py
@@ -5,137 +5,205 @@
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Iterator
-from dataclasses import dataclass
 
-from fordstair.lab.soak.plan import CONNECTION_CALLS, FaultKind
+from fordstair.lab.platform_settings import SETTINGS
+from fordstair.lab.soak import process_rules
+from fordstair.lab.soak.drain_rule import judge_drains
+from fordstair.lab.soak.judgement import Judgement, Violation
+from fordstair.lab.soak.plan import ENGINE_CORES, FaultKind
 from fordstair.lab.soak.records import AttemptRecord, RequestRecord, SoakRecord
+from fordstair.lab.soak.request_kinds import mean_work_s
+from fordstair.lab.soak.slow_start_rule import SlowStartSettings, judge_slow_starts
 
 UNSAFE_CLASS = "meter-load"
 ANSWER_SLACK_S = 0.5  # after its time an answer earns nothing; later than that it is lost
 GONE_SLACK_S = 0.1  # after a client has gone an attempt may still begin
 LIMIT_SLACK_MS = 150.0  # by which a deadline told to an engine may exceed what the client has left
-DRAIN_SLACK_S = 0.55  # after a drain was told an attempt may still begin
 END_S = 4.7  # from SIGTERM, in which a planned end has closed all connections
 ANSWER_AFTER_PAUSE_S = 0.3  # after a pause, for the answers to be given and to leave
 CROSSING_S = 0.1  # a request may cross the close of a resting connection
-MEASURE_SLACK_S = 0.05  # this program sees bytes a little later than they come
-DISCOVERY_KINDS = (FaultKind.SILENCE_DISCOVERY, FaultKind.RESET_DISCOVERY)
-# What a coordinator was doing in these keeps it from hearing of a drain in time.
-DEAF_KINDS = (
-    FaultKind.PAUSE,
-    FaultKind.FAIL_CALL,
-    FaultKind.INTERRUPT_CALLS,
-    FaultKind.SHORTEN_CALL,
-    FaultKind.RELOAD,
-    FaultKind.KILL,
-    FaultKind.TERMINATE,
+MEASURE_SLACK_S = 0.05  # for the clock ticks in which the kernel dates bytes
+MAX_RETRY_AFTER_MS = SETTINGS["limits"]["maxRetryAfterMs"]
+SLOW_START = SlowStartSettings(
+    cores=ENGINE_CORES,
+    cold_share=SETTINGS["obligations"]["coldFrom"],
+    warm_s=SETTINGS["obligations"]["coldMs"] / 1e3,
+    fall_multiple=SETTINGS["obligations"]["fallMultiple"],
+    window_s=SETTINGS["obligations"]["fallMs"] / 1e3,
+    mean_work_s=mean_work_s(),
 )
-DEAF_FOR_S = 7.0  # afterwards what discovery tells counts as told, whether it arrived or not
-
-
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """One broken rule."""
-
-    rule: str
-    at_s: float
-    what: str
-    txn: str = ""  # of the request that it is about
-
-    def __str__(self) -> str:
-        return f"{self.at_s:.3f} {self.rule}: {self.what}"
 
 
 class Oracle:
-    """Judges one run."""
+    """Judges one run.
+
+    What engines and clients got is dated by the kernel, so that this program's own lag widens nothing there.
+    It sees late that a connection has ended: ``late_slack_s`` is for that alone.
+    """
 
     def __init__(self, record: SoakRecord) -> None:
         self.record = record
-        self.slack_s = MEASURE_SLACK_S + record.worst_lag_s
+        self.late_slack_s = MEASURE_SLACK_S + record.worst_lag_s
         self.requests = {each.txn: each for each in record.requests}
         self.attempts: dict[str, list[AttemptRecord]] = defaultdict(list)
         for attempt in record.attempts:
             self.attempts[attempt.txn].append(attempt)
+        self._judgement: Judgement | None = None
+
+    def judgement(self) -> Judgement:
+        """Return what was judged, excused and violated, by rule."""
+        if self._judgement is None:
+            self._judgement = Judgement()
+            self._judge_attempts(self._judgement)
+            self._judge_requests(self._judgement)
+            judge_drains(self.record, self._judgement)
+            judge_slow_starts(self.record, SLOW_START, self._judgement)
+            process_rules.judge_processes(self.record, self._judgement)
+        return self._judgement
 
     def violations(self) -> list[Violation]:
         """Return every broken rule, in order of time."""
-        found = [
-            *self._duplicates(),
-            *self._parallel(),
-            *self._answers(),
-            *self._attempts_of_nobody(),
-            *self._limits(),
-            *self._drains(),
-            *self._crashes(),
-        ]
-        return sorted(found, key=lambda each: each.at_s)
-
-    def _duplicates(self) -> Iterator[Violation]:
-        for txn, attempts in self.attempts.items():
-            request = self.requests.get(txn)
-            ran = [each for each in attempts if each.how != "refused"]
-            if request is not None and request.class_name == UNSAFE_CLASS and len(ran) > 1:
-                engines = ", ".join(f"{each.engine} {each.read_s:.3f} {each.how}" for each in ran)
-                yield Violation("duplicate", ran[1].read_s, f"{txn} of {request.coordinator}: {engines}", txn)
+        return sorted(self.judgement().violations, key=lambda each: each.at_s)
+
+    # Attempts
 
-    def _parallel(self) -> Iterator[Violation]:
+    def _judge_attempts(self, judgement: Judgement) -> None:
         for txn, attempts in self.attempts.items():
-            runs = sorted(
-                (each for each in attempts if each.started_s < math.inf), key=lambda each: each.started_s
-            )
-            for one, other in itertools.pairwise(runs):
-                if other.started_s + self.slack_s < one.ended_s:
-                    beside = f"{one.engine} {one.started_s:.3f} to {one.ended_s:.3f} {one.how}"
-                    yield Violation(
-                        "parallel", other.started_s, f"{txn} at {other.engine} beside {beside}", txn
-                    )
-
-    def _answers(self) -> Iterator[Violation]:
+            request = self.requests.get(txn)
+            if request is None:
+                what = f"{txn} at {attempts[0].engine}"
+                judgement.violate(Violation("unknown request", attempts[0].read_s, what, txn))
+                continue
+            self._judge_duplicates(judgement, request, attempts)
+            self._judge_parallel(judgement, request, attempts)
+            for attempt in attempts:
+                self._judge_limit(judgement, request, attempt)
+                self._judge_begin(judgement, request, attempt)
+                self._judge_fields(judgement, request, attempt)
+
+    def _judge_duplicates(
+        self, judgement: Judgement, request: RequestRecord, attempts: list[AttemptRecord]
+    ) -> None:
+        if request.class_name != UNSAFE_CLASS:
+            return
+        judgement.judge("duplicate")
+        ran = [each for each in attempts if each.how != "refused"]
+        if len(ran) > 1:
+            engines = ", ".join(f"{each.engine} {each.read_s:.3f} {each.how}" for each in ran)
+            what = f"{request.txn} of {request.coordinator}: {engines}"
+            judgement.violate(Violation("duplicate", ran[1].read_s, what, request.txn))
+
+    def _judge_parallel(
+        self, judgement: Judgement, request: RequestRecord, attempts: list[AttemptRecord]
+    ) -> None:
+        judgement.judge("parallel")
+        runs = sorted(
+            (each for each in attempts if each.started_s < math.inf), key=lambda each: each.started_s
+        )
+        for one, other in itertools.pairwise(runs):
+            if other.started_s + self.late_slack_s < one.ended_s:
+                beside = f"{one.engine} {one.started_s:.3f} to {one.ended_s:.3f} {one.how}"
+                what = f"{request.txn} at {other.engine} beside {beside}"
+                judgement.violate(Violation("parallel", other.started_s, what, request.txn))
+
+    def _judge_limit(self, judgement: Judgement, request: RequestRecord, attempt: AttemptRecord) -> None:
+        judgement.judge("limit")
+        left_s = request.sent_s + request.limit_s - attempt.read_s
+        spare_s = MEASURE_SLACK_S + self._paused(request, request.sent_s, attempt.read_s)
+        if attempt.limit_ms > (left_s + spare_s) * 1e3 + LIMIT_SLACK_MS:
+            where = f"{attempt.txn} of {request.coordinator}, sent {request.sent_s:.3f}, at {attempt.engine}"
+            what = f"{where}: {attempt.limit_ms} ms where {left_s:.3f} s are left"
+            judgement.violate(Violation("limit", attempt.read_s, what, attempt.txn))
+
+    def _judge_begin(self, judgement: Judgement, request: RequestRecord, attempt: AttemptRecord) -> None:
+        judgement.judge("begun for nobody")
+        begun_s = attempt.begun_s - self._paused(request, request.gone_s, attempt.begun_s)
+        if begun_s > request.gone_s + GONE_SLACK_S + MEASURE_SLACK_S:
+            what = f"{attempt.txn} of {request.coordinator} gone at {request.gone_s:.3f}"
+            judgement.violate(Violation("begun for nobody", attempt.begun_s, what, attempt.txn))
+
+    def _judge_fields(self, judgement: Judgement, request: RequestRecord, attempt: AttemptRecord) -> None:
+        """Judge what is handed on byte for byte."""
+        if attempt.started_s == math.inf:
+            judgement.excuse("handed on", "not taken up")
+            return
+        judgement.judge("handed on")
+        if (attempt.class_name, attempt.statement) != (request.class_name, request.statement):
+            what = f"{attempt.txn} at {attempt.engine}: {attempt.class_name} {attempt.statement[:60]!r}"
+            judgement.violate(Violation("handed on", attempt.read_s, what, attempt.txn))
+
+    # Requests
+
+    def _judge_requests(self, judgement: Judgement) -> None:
         for request in self.record.requests:
             if len(request.answers) > 1:
-                yield Violation("second answer", request.answers[1][0], request.txn, request.txn)
+                at_s = request.answers[1][0]
+                judgement.violate(Violation("second answer", at_s, request.txn, request.txn))
             elif any(how == "spoilt" for _, how in request.answers):
-                yield Violation("spoilt answer", request.answers[0][0], request.txn, request.txn)
-            elif request.gone_s == math.inf and not self._lost_by_a_kill(request):
-                yield from self._answer_in_time(request)
-
-    def _answer_in_time(self, request: RequestRecord) -> Iterator[Violation]:
+                at_s = request.answers[0][0]
+                judgement.violate(Violation("spoilt answer", at_s, request.txn, request.txn))
+            else:
+                self._judge_answer(judgement, request)
+            self._judge_retry_after(judgement, request)
+
+    def _judge_answer(self, judgement: Judgement, request: RequestRecord) -> None:
+        if (reason := self._excuse(request)) is not None:
+            judgement.excuse("lost", reason)
+            return
+        judgement.judge("lost")
         due_s = request.sent_s + request.limit_s
-        late_s = due_s + ANSWER_SLACK_S + self.slack_s + self._paused(request, request.sent_s, due_s + 5.0)
+        paused_s = self._paused(request, request.sent_s, due_s + 5.0)
+        late_s = due_s + ANSWER_SLACK_S + MEASURE_SLACK_S + paused_s
         name = f"{request.txn} {request.class_name} of {request.coordinator}, sent {request.sent_s:.3f}"
         if not request.answers:
-            if not self._excused(request):
-                yield Violation("lost", min(late_s, request.closed_s), f"{name}: no answer", request.txn)
+            at_s = min(late_s, request.closed_s)
+            judgement.violate(Violation("lost", at_s, f"{name}: no answer", request.txn))
         elif request.answers[0][0] > late_s:
             what = f"{name}: an answer after {late_s:.3f}"
-            yield Violation("lost", request.answers[0][0], what, request.txn)
+            judgement.violate(Violation("lost", request.answers[0][0], what, request.txn))
+
+    def _judge_retry_after(self, judgement: Judgement, request: RequestRecord) -> None:
+        """Judge that a refusal says when to come again, within what clients heed."""
+        if not request.answers or request.answers[0][1] != "refused":
+            return
+        judgement.judge("retry after")
+        told = request.retry_after
+        if told is None or not told.isdecimal() or float(told) > MAX_RETRY_AFTER_MS:
+            what = f"{request.txn} of {request.coordinator}: later {told!r}"
+            judgement.violate(Violation("retry after", request.answers[0][0], what, request.txn))
 
     def _paused(self, request: RequestRecord, from_s: float, to_s: float) -> float:
-        spans = self.record.held(FaultKind.PAUSE, request.coordinator)
-        return sum(span.overlap(from_s, to_s) for span in spans)
-
-    def _lost_by_a_kill(self, request: RequestRecord) -> bool:
-        until_s = request.answers[0][0] if request.answers else request.sent_s + request.limit_s + 1.0
+        """Return for how long its coordinator was stopped, or had no core, as was seen of its process."""
+        return self.record.stopped_s(request.coordinator, from_s, to_s)
+
+    def _excuse(self, request: RequestRecord) -> str | None:
+        """Return the evidence by which nobody owes it an answer; None where there is none."""
+        if request.gone_s < math.inf:
+            return "its client has gone"
+        if request.answers:
+            return None
+        excuses = {
+            "killed": self._killed,
+            "crossed an end": self._crossed_an_end,
+            "killed in a pause": self._killed_in_a_pause,
+            "shut unread": self._shut_unread,
+            "connection failed": self._connection_failed,
+        }
+        return next((reason for reason, holds in excuses.items() if holds(request)), None)
+
+    def _killed(self, request: RequestRecord) -> bool:
+        """Whether a kill ended the connection that it was open on."""
         return any(
-            span.overlap(request.sent_s - 0.05, until_s) > 0.0
-            for span in self.record.held(FaultKind.KILL, request.coordinator)
-        )
-
-    def _excused(self, request: RequestRecord) -> bool:
-        """Whether nobody owes it an answer, though it was written and its client stayed."""
-        return (
-            self._crossed_an_end(request)
-            or self._killed_in_a_pause(request)
-            or self._shut_unread(request)
-            or self._connection_failed(request)
+            kill.name == request.coordinator
+            and kill.at_s <= request.closed_s <= kill.at_s + CROSSING_S + self.late_slack_s
+            for kill in self.record.kills
         )
 
     def _killed_in_a_pause(self, request: RequestRecord) -> bool:
         """Whether the platform's SIGKILL met a program that was stopped, or had just been."""
         pauses = self.record.held(FaultKind.PAUSE, request.coordinator)
         return any(
-            pause.from_s < end.killed_s < pause.to_s + ANSWER_AFTER_PAUSE_S + self.slack_s
+            pause.from_s < end.killed_s < pause.to_s + ANSWER_AFTER_PAUSE_S + self.late_slack_s
             for end in self.record.planned_ends
             if end.name == request.coordinator and end.killed_s <= request.closed_s
             for pause in pauses
@@ -146,17 +214,16 @@
 
         That is a new connection, or a resting one whose close the request has crossed.
         """
-        crossed = request.closed_s - request.sent_s < CROSSING_S + self.slack_s
+        crossed = request.closed_s - request.sent_s < CROSSING_S + self.late_slack_s
         return self.record.crowded and (request.first or crossed) and not self.attempts[request.txn]
 
     def _connection_failed(self, request: RequestRecord) -> bool:
-        """Whether a failing send or recv told the coordinator that the client's connection had failed."""
+        """Whether a failing call told the coordinator that its client's connection had failed."""
         return any(
-            each.fault.kind is FaultKind.FAIL_CALL
-            and each.fault.call in CONNECTION_CALLS
-            and each.fault.name == request.coordinator
-            and each.held.from_s <= request.closed_s <= each.held.to_s + CROSSING_S + self.slack_s
-            for each in self.record.injected
+            failed.coordinator == request.coordinator
+            and failed.client_port == request.client_port
+            and failed.at_s <= request.closed_s
+            for failed in self.record.failed_connections
         )
 
     def _crossed_an_end(self, request: RequestRecord) -> bool:
@@ -169,63 +236,4 @@
             end.name == request.coordinator and end.signalled_s <= request.closed_s <= end.signalled_s + END_S
             for end in self.record.planned_ends
         )
-        return ending and request.closed_s - request.sent_s < CROSSING_S + self.slack_s
-
-    def _attempts_of_nobody(self) -> Iterator[Violation]:
-        for attempt in self.record.attempts:
-            request = self.requests.get(attempt.txn)
-            if request is None:
-                what = f"{attempt.txn} at {attempt.engine}"
-                yield Violation("unknown request", attempt.read_s, what, attempt.txn)
-                continue
-            begun_s = attempt.read_s - self._paused(request, request.gone_s, attempt.read_s)
-            if begun_s > request.gone_s + GONE_SLACK_S + self.slack_s:
-                yield Violation(
-                    "begun for nobody",
-                    attempt.read_s,
-                    f"{attempt.txn} of {request.coordinator} gone at {request.gone_s:.3f}",
-                    attempt.txn,
-                )
-
-    def _limits(self) -> Iterator[Violation]:
-        for attempt in self.record.attempts:
-            if (request := self.requests.get(attempt.txn)) is None:
-                continue
-            left_s = request.sent_s + request.limit_s - attempt.read_s
-            spare_s = self.slack_s + self._paused(request, request.sent_s, attempt.read_s)
-            if attempt.limit_ms > (left_s + spare_s) * 1e3 + LIMIT_SLACK_MS:
-                where = (
-                    f"{attempt.txn} of {request.coordinator}, sent {request.sent_s:.3f}, at {attempt.engine}"
-                )
-                what = f"{where}: {attempt.limit_ms} ms where {left_s:.3f} s are left"
-                yield Violation("limit", attempt.read_s, what, attempt.txn)
-
-    def _drains(self) -> Iterator[Violation]:
-        for attempt in self.record.attempts:
-            if (request := self.requests.get(attempt.txn)) is None:
-                continue
-            for drain in self.record.drains:
-                announced_s = drain.announced.from_s
-                announced_s += (
-                    DEAF_FOR_S if self._deaf(request.coordinator, announced_s, attempt.read_s) else 0.0
-                )
-                if (
-                    drain.engine == attempt.engine
-                    and announced_s + DRAIN_SLACK_S + self.slack_s < attempt.read_s < drain.announced.to_s
-                ):
-                    what = (
-                        f"{attempt.txn} of {request.coordinator} to {attempt.engine}, told {announced_s:.3f}"
-                    )
-                    yield Violation("drain", attempt.read_s, what, attempt.txn)
-
-    def _deaf(self, coordinator: str, from_s: float, to_s: float) -> bool:
-        spans = [span for kind in DEAF_KINDS for span in self.record.held(kind, coordinator)]
-        spans += [span for kind in DISCOVERY_KINDS for span in self.record.held(kind)]
-        return any(span.from_s <= to_s and span.to_s >= from_s - 3.0 for span in spans)
-
-    def _crashes(self) -> Iterator[Violation]:
-        for end in self.record.ends:
-            if not end.wanted:
-                yield Violation("crash", end.at_s, f"{end.name} exited with {end.code}")
-        for line in self.record.log_faults:
-            yield Violation("log", math.inf, line)
+        return ending and request.closed_s - request.sent_s < CROSSING_S + self.late_slack_s
--- a/fordstair/lab/soak/plan.py
+++ b/fordstair/lab/soak/plan.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from random import Random
 
+ENGINE_CORES = 8.0
 HOUR_MS = 3_600_000.0
 WALL_STEPS_MS = (-HOUR_MS, -20_000.0, -3_000.0, -400.0, 400.0, 3_000.0, 20_000.0, HOUR_MS)
 # What accept(2), connect(2) and socket(2) document as passing; a faked ECONNREFUSED would be a false proof.
--- a/fordstair/lab/soak/run.py
+++ b/fordstair/lab/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import signal
 import tempfile
@@ -17,17 +18,36 @@
 
 from fordstair.lab.platform_settings import SETTINGS
 from fordstair.lab.soak.clients import Clients
-from fordstair.lab.soak.coordinators import CROWDED_SOCKETS, SoakCoordinator
+from fordstair.lab.soak.coordinators import (
+    CROWDED_SOCKETS,
+    MEMORY_MB,
+    USUAL_SOCKETS,
+    SoakCoordinator,
+)
 from fordstair.lab.soak.crowd import Crowd
 from fordstair.lab.soak.discovery import DRAINING, READY, DiscoveryStandIn
 from fordstair.lab.soak.engines import WatchedEngine
-from fordstair.lab.soak.oracle import Oracle, Violation
+from fordstair.lab.soak.judgement import Judgement, Violation
+from fordstair.lab.soak.oracle import Oracle
 from fordstair.lab.soak.plan import Fault, FaultKind, TimedSignal, draw_faults
-from fordstair.lab.soak.records import Drain, InjectedFault, PlannedEnd, SoakRecord, Span
+from fordstair.lab.soak.records import (
+    ColdStart,
+    DiscoveryConnection,
+    Drain,
+    InjectedFault,
+    Kill,
+    PlannedEnd,
+    SoakRecord,
+    Span,
+    ToldOfDrain,
+)
 from fordstair.lab.soak.story import story
 
 MAX_LAG_S = 0.5  # a run that was itself later than that judges nothing
+MS_PER_S = 1_000.0
 WATCH_INTERVAL_S = 0.05
+BURST_CONNECTIONS = (50, 300)  # a third of a coordinator's descriptors at most
+RESOURCES_EVERY = 10  # looks
 SLOWNESS = 6.0  # times as long, at an engine that is slowed down
 FIRST_PORT = 20_000  # below those that the system hands out by itself
 
@@ -43,6 +63,7 @@
     faults_per_s: float = 6.0
     rate_per_s: float = 6.0  # requests to one coordinator
     crowd: int = 0  # idle and half-written connections to one coordinator
+    bursts: bool = False  # many new connections at once, whenever a coordinator has started again
 
 
 @dataclass(slots=True)
@@ -52,7 +73,12 @@
     plan: Plan
     faults: list[Fault]
     record: SoakRecord
-    violations: list[Violation]
+    judgement: Judgement
+
+    @property
+    def violations(self) -> list[Violation]:
+        """The broken rules, in order of time."""
+        return sorted(self.judgement.violations, key=lambda each: each.at_s)
 
     @property
     def answers(self) -> Counter[str]:
@@ -78,6 +104,7 @@
             f"  faults {dict(kinds)}",
             f"  {len(self.record.planned_ends)} planned ends, of them {len(self.running_at_kill)} by SIGKILL",
             *(self._killed_line(end) for end in self.running_at_kill),
+            *(f"  {line}" for line in self.judgement.lines()),
         ]
         if self.violations:
             lines += [f"  fault {fault}" for fault in self.faults]
@@ -97,7 +124,8 @@
         self.start_s = math.nan
         self.engines: dict[str, WatchedEngine] = {}
         self.coordinators: dict[str, SoakCoordinator] = {}
-        self.discovery = DiscoveryStandIn({})
+        self.clients: dict[str, Clients] = {}
+        self.discovery = DiscoveryStandIn({}, (), self.record, self.now_s)
         self._channel = 0  # which of discovery's ports is told
         self._starts = trio.CapacityLimiter(2)  # at a time: they would slow each other down
         self._restarting: set[str] = set()
@@ -118,7 +146,7 @@
                 self.engines[name] = WatchedEngine(name, self.record, self.start_s)
                 await nursery.start(self.engines[name].serve)
             addresses = {name: engine.address for name, engine in self.engines.items()}
-            self.discovery = DiscoveryStandIn(addresses)
+            self.discovery = DiscoveryStandIn(addresses, names, self.record, self.now_s)
             await nursery.start(self.discovery.run)
             try:
                 await self._start_coordinators(names)
@@ -134,25 +162,36 @@
             nursery.cancel_scope.cancel()
         for each in self.coordinators.values():
             each.read_log()
+            each.read_failed_connections()
             self.record.logs[each.name] = each.log_lines()
-        return Report(self.plan, faults, self.record, Oracle(self.record).violations())
+        return Report(self.plan, faults, self.record, Oracle(self.record).judgement())
 
     async def _start_coordinators(self, names: list[str]) -> None:
         settings = SETTINGS | {"instances": len(names)}
         self.record.crowded = self.plan.crowd > 0
+        self.record.coordinators = names
+        self.record.memory_limit_mb = MEMORY_MB
+        self.record.descriptor_limit = CROWDED_SOCKETS if self.plan.crowd else USUAL_SOCKETS
         async with trio.open_nursery() as nursery:
             for port, name in enumerate(names, FIRST_PORT):
-                self.coordinators[name] = SoakCoordinator(name, port, self.folder, settings, self.record)
+                self.coordinators[name] = SoakCoordinator(
+                    name, port, self.folder, settings, self.record, self.now_s
+                )
                 if self.plan.crowd:
                     self.coordinators[name].sockets = CROWDED_SOCKETS
                 nursery.start_soon(self._start, self.coordinators[name])
 
     async def _start(self, coordinator: SoakCoordinator) -> None:
         async with self._starts:
-            await coordinator.start(self.discovery.known(), self._address())
+            known, draining = self.discovery.known(), self.discovery.draining()
+            await coordinator.start(known, self._address(coordinator))
+            at_start = DiscoveryConnection(coordinator.name)
+            self.record.told += [
+                ToldOfDrain(coordinator.name, engine, self.now_s(), at_start) for engine in draining
+            ]
 
-    def _address(self) -> str:
-        return f"127.0.0.1:{self.discovery.ports[self._channel]}"
+    def _address(self, coordinator: SoakCoordinator) -> str:
+        return f"127.0.0.1:{self.discovery.ports[coordinator.name][self._channel]}"
 
     async def _play(self, faults: list[Fault]) -> None:
         """Send traffic and inject faults; return once the last request has ended."""
@@ -165,7 +204,7 @@
     async def _send_and_inject(self, faults: list[Fault]) -> None:
         async with trio.open_nursery() as nursery:
             for number, coordinator in enumerate(self.coordinators.values()):
-                clients = Clients(
+                clients = self.clients[coordinator.name] = Clients(
                     coordinator,
                     self.record,
                     self.plan.seed * 1_000 + number,
@@ -189,13 +228,15 @@
 
     async def _watch(self) -> None:
         """Look for ends that nobody wanted, and for how late this program is itself."""
-        while True:
+        for look in itertools.count():
             due_s = trio.current_time() + WATCH_INTERVAL_S
             await trio.sleep_until(due_s)
             self.record.worst_lag_s = max(self.record.worst_lag_s, trio.current_time() - due_s)
             for coordinator in self.coordinators.values():
                 coordinator.check_running(self.now_s())
                 coordinator.sample_core_wait(self.now_s())
+                if look % RESOURCES_EVERY == 0:
+                    coordinator.sample_resources()
 
     async def _inject(self, fault: Fault) -> None:
         """Let a fault hold for its time, and write down when it did."""
@@ -230,7 +271,11 @@
         self.coordinators[fault.name].signal(signal.SIGCONT)
 
     async def _kill(self, fault: Fault) -> None:
-        await self._restart(fault, self.coordinators[fault.name].kill)
+        await self._restart(fault, partial(self._kill_now, self.coordinators[fault.name]))
+
+    async def _kill_now(self, coordinator: SoakCoordinator) -> None:
+        self.record.kills.append(Kill(coordinator.name, self.now_s()))
+        await coordinator.kill()
 
     async def _terminate(self, fault: Fault) -> None:
         await self._restart(fault, partial(self._end, self.coordinators[fault.name], fault.signals))
@@ -255,11 +300,13 @@
             ended = await coordinator.signal_start(signals, self.start_s, self._random)
         if ended:
             await self._start(coordinator)
+        if self.plan.bursts and coordinator.accepts:
+            self.clients[coordinator.name].burst(self._random.randint(*BURST_CONNECTIONS))
 
     async def _reload(self, fault: Fault) -> None:
         self._channel = 1 - self._channel
         coordinator = self.coordinators[fault.name]
-        coordinator.write_config(self.discovery.known(), self._address())
+        coordinator.write_config(self.discovery.known(), self._address(coordinator))
         coordinator.reload()
 
     async def _drain(self, fault: Fault) -> None:
@@ -295,10 +342,18 @@
             await trio.sleep(fault.lasts_s)
             engine.full = False
         elif fault.kind is FaultKind.RESTART_COLD:
-            engine.come_back_cold()
+            self._restart_cold(engine, fault)
         elif fault.kind is FaultKind.RESET_CONNECTIONS:
             engine.reset_connections()
 
+    def _restart_cold(self, engine: WatchedEngine, fault: Fault) -> None:
+        """Start an engine's process anew; discovery tells of every second one."""
+        announced = int(fault.at_s * MS_PER_S) % 2 == 0
+        self.record.cold_starts.append(ColdStart(engine.name, self.now_s(), announced))
+        engine.come_back_cold()
+        if announced:
+            self.discovery.announce_start(engine.name)
+
 
 def soak(plan: Plan) -> Report:
     """Run one soak; the same plan injects the same faults."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,18 +7,26 @@
 
 import pytest
 
-from fordstair.lab.soak.oracle import Oracle
+from fordstair.lab.soak.oracle import SLOW_START, Oracle
 from fordstair.lab.soak.plan import RECIPES, Fault, FaultKind, draw_faults
 from fordstair.lab.soak.records import (
     AttemptRecord,
+    ColdStart,
     CoordinatorEnd,
+    CoordinatorStart,
     CoreWait,
+    DiscoveryConnection,
     Drain,
+    FailedConnection,
     InjectedFault,
+    Kill,
     PlannedEnd,
     RequestRecord,
+    Resources,
     SoakRecord,
     Span,
+    ToldOfDrain,
+    ToldOfStart,
 )
 from fordstair.lab.soak.run import MAX_LAG_S, Plan, soak
 from fordstair.lab.soak.story import story
@@ -30,10 +38,11 @@
     """A run of one load that was served, with no fault."""
     request = RequestRecord(TXN, "meter-load", "n0", 1.0, 4.0, [(1.5, "served")])
     attempt = AttemptRecord(TXN, "s-1", 1.01, 3_900.0, 1.01, 1.4, "served")
-    record = SoakRecord([request], [attempt])
+    request.retry_after = "400"  # where it is refused
     for name, value in changes.items():
         setattr(request if hasattr(request, name) else attempt, name, value)
-    return record
+    attempt.class_name = request.class_name
+    return SoakRecord(["n0"], [request], [attempt])
 
 
 def rules(record: SoakRecord) -> list[str]:
@@ -42,7 +51,9 @@
 
 
 def again(record: SoakRecord, how: str, started_s: float, engine: str = "s-2") -> SoakRecord:
-    record.attempts.append(AttemptRecord(TXN, engine, started_s, 100.0, started_s, started_s + 0.1, how))
+    attempt = AttemptRecord(TXN, engine, started_s, 100.0, started_s, started_s + 0.1, how)
+    attempt.class_name = record.requests[0].class_name
+    record.attempts.append(attempt)
     return record
 
 
@@ -51,19 +62,78 @@
     return record
 
 
-def with_drain(record: SoakRecord, told_s: float) -> SoakRecord:
-    record.drains.append(Drain("s-1", Span(told_s, 9.0)))
+def with_drain(
+    record: SoakRecord, announced_s: float, written_s: float | None = None, lost_s: float = math.inf
+) -> SoakRecord:
+    """Let a drain be announced, and be written to the coordinator on a connection that ends at ``lost_s``."""
+    record.drains.append(Drain("s-1", Span(announced_s, 9.0)))
+    connection = DiscoveryConnection("n0", lost_s)
+    written_s = announced_s if written_s is None else written_s
+    record.told.append(ToldOfDrain("n0", "s-1", written_s, connection))
     return record
 
 
-def told_to_end(record: SoakRecord, at_s: float, killed_s: float = math.inf) -> SoakRecord:
-    record.planned_ends.append(PlannedEnd("n0", at_s, killed_s))
+def with_late_attempt(record: SoakRecord, arrived_s: float, first_byte_s: float) -> SoakRecord:
+    """Have the attempt arrive at another time, in pieces."""
+    attempt, request = record.attempts[0], record.requests[0]
+    attempt.read_s, attempt.first_byte_s = arrived_s, first_byte_s
+    attempt.started_s, attempt.ended_s, attempt.limit_ms = arrived_s, arrived_s + 0.1, 0.0
+    request.limit_s, request.answers = 20.0, [(arrived_s + 0.2, "served")]
     return record
 
 
-def with_failing_call(record: SoakRecord, call: str, from_s: float, to_s: float) -> SoakRecord:
-    fault = Fault(from_s, to_s - from_s, FaultKind.FAIL_CALL, "n0", call=call, errno="ECONNRESET")
-    record.injected.append(InjectedFault(fault, Span(from_s, to_s)))
+def without_a_core(record: SoakRecord, waited_s: float) -> SoakRecord:
+    record.core_waits.append(CoreWait("n0", Span(2.0, 2.25), waited_s))
+    return record
+
+
+def killed(record: SoakRecord, at_s: float) -> SoakRecord:
+    record.kills.append(Kill("n0", at_s))
+    return record
+
+
+def with_failed_connection(record: SoakRecord, at_s: float, port: int = 0) -> SoakRecord:
+    record.failed_connections.append(FailedConnection("n0", port, at_s))
+    return record
+
+
+def cold(
+    record: SoakRecord, *, announced: bool = True, told_s: float = 0.96, lookups: int = 200
+) -> SoakRecord:
+    """Restart the engine at 0.95 s; then it is sent loads of the mean work within a second."""
+    record.cold_starts.append(ColdStart("s-1", 0.95, announced))
+    record.told_starts.append(ToldOfStart("n0", "s-1", told_s))
+    statement = b"/* work=%.1f */ SELECT" % (SLOW_START.mean_work_s * 1e3)
+    for number in range(lookups):
+        txn, at_s = f"{number:016x}", 1.0 + number / 1e3
+        request = RequestRecord(txn, "lookup", "n0", at_s, 4.0, [(at_s + 0.2, "served")], statement=statement)
+        attempt = AttemptRecord(txn, "s-1", at_s, 3_900.0, at_s, at_s + 0.1, "served")
+        attempt.class_name, attempt.statement = "lookup", statement
+        record.requests.append(request)
+        record.attempts.append(attempt)
+    return record
+
+
+def refused(retry_after: str | None) -> SoakRecord:
+    return served(answers=[(1.5, "refused")], retry_after=retry_after)
+
+
+def started(*took_s: float, signalled: bool = False) -> SoakRecord:
+    """A run in which the coordinator was restarted so many times."""
+    record = served()
+    record.starts = [CoordinatorStart("n0", 1.0, 1.0 + each, signalled) for each in took_s]
+    return record
+
+
+def using(descriptors: int, memory_mb: float) -> SoakRecord:
+    record = served()
+    record.descriptor_limit, record.memory_limit_mb = 100, 64.0
+    record.resources["n0"] = Resources(descriptors, memory_mb)
+    return record
+
+
+def told_to_end(record: SoakRecord, at_s: float, killed_s: float = math.inf) -> SoakRecord:
+    record.planned_ends.append(PlannedEnd("n0", at_s, killed_s))
     return record
 
 
@@ -90,7 +160,11 @@
         (lambda: served(answers=[]), ["lost"]),
         (lambda: served(answers=[(5.6, "served")]), ["lost"]),
         (lambda: with_fault(served(answers=[(5.6, "served")]), FaultKind.PAUSE, 2.0, 2.5), []),
-        (lambda: with_fault(served(answers=[]), FaultKind.KILL, 1.2, 1.3), []),
+        (lambda: without_a_core(served(answers=[(5.6, "served")]), 0.2), []),
+        (lambda: without_a_core(served(answers=[(5.6, "served")]), 0.04), ["lost"]),
+        (lambda: killed(served(answers=[], closed_s=1.25), 1.2), []),
+        (lambda: killed(served(answers=[], closed_s=1.4), 1.2), ["lost"]),  # it ended its connection later
+        (lambda: killed(served(answers=[]), 1.2), ["lost"]),  # it was not open on what the kill ended
         (lambda: with_fault(served(answers=[], closed_s=1.6), FaultKind.TERMINATE, 0.5, 2.0), ["lost"]),
         (lambda: with_fault(served(answers=[], closed_s=1.05), FaultKind.TERMINATE, 0.5, 2.0), []),
         (lambda: served(answers=[(1.5, "served"), (1.6, "served")]), ["second answer"]),
@@ -100,7 +174,33 @@
         (lambda: served(limit_ms=4_300.0), ["limit"]),
         (lambda: with_drain(served(), 0.3), ["drain"]),
         (lambda: with_drain(served(), 0.9), []),
-        (lambda: with_fault(with_drain(served(), 0.3), FaultKind.SILENCE_DISCOVERY, 0.0, 0.9), []),
+        # A drain counts from when it was written to the coordinator, on a connection that lived on.
+        (lambda: with_drain(served(), 0.3, written_s=0.9), []),
+        (lambda: with_drain(served(), 0.1, written_s=0.3, lost_s=0.5), []),
+        (lambda: with_drain(served(), 0.1, written_s=0.3, lost_s=2.0), ["drain"]),
+        (lambda: with_fault(with_drain(served(), 0.3), FaultKind.PAUSE, 0.4, 0.9), []),
+        (lambda: with_late_attempt(with_drain(served(), 0.1, lost_s=0.2), 7.6, 7.6), []),
+        (lambda: with_late_attempt(with_drain(served(), 0.1, lost_s=0.2), 7.8, 7.8), ["drain"]),
+        (lambda: with_late_attempt(with_drain(served(), 1.0), 1.7, 1.5), []),  # it begins with its first byte
+        (lambda: with_late_attempt(with_drain(served(), 1.0), 1.7, 1.65), ["drain"]),
+        # What is handed on, and what a refusal says.
+        (lambda: served(statement=b"SELECT a"), ["handed on"]),
+        (lambda: refused("400"), []),
+        (lambda: refused("1001"), ["retry after"]),
+        (lambda: refused(None), ["retry after"]),
+        # An engine that starts cold, of which discovery has told: 29 requests of mean work in a second.
+        (lambda: cold(served(), lookups=28), []),
+        (lambda: cold(served(), lookups=30), ["slow start"]),
+        (lambda: cold(served(), lookups=30, announced=False), []),
+        (lambda: cold(served(), lookups=30, told_s=1.02), []),  # too few by one that had been told
+        # Processes: nine in ten are ready in time, and all keep to their limits.
+        (lambda: started(*[1.0] * 9, 11.0), []),
+        (lambda: started(*[1.0] * 8, 11.0), ["ready"]),
+        (lambda: started(math.inf), ["ready"]),
+        (lambda: started(math.inf, signalled=True), []),
+        (lambda: using(100, 64.0), []),
+        (lambda: using(101, 64.0), ["descriptors"]),
+        (lambda: using(100, 64.5), ["memory"]),
         (lambda: ended(served()), ["crash"]),
         # A planned end: what is open at SIGKILL is lost, unless the program could not have run.
         (lambda: told_to_end(served(answers=[], closed_s=4.2), 0.5, 4.2), ["lost"]),
@@ -120,9 +220,10 @@
             ["lost"],
         ),
         # A client's connection that a failing call has ended, and one that it has not.
-        (lambda: with_failing_call(served(answers=[], closed_s=1.5), "recv", 1.4, 1.6), []),
-        (lambda: with_failing_call(served(answers=[], closed_s=2.0), "recv", 1.4, 1.6), ["lost"]),
-        (lambda: with_failing_call(served(answers=[], closed_s=1.5), "connect", 1.4, 1.6), ["lost"]),
+        (lambda: with_failed_connection(served(answers=[], closed_s=1.5), 1.4), []),
+        (lambda: with_failed_connection(served(answers=[], closed_s=1.5), 1.4, port=7), ["lost"]),
+        (lambda: with_failed_connection(served(answers=[], closed_s=1.5), 1.6), ["lost"]),
+        (lambda: with_fault(served(answers=[], closed_s=1.5), FaultKind.FAIL_CALL, 1.4, 1.6), ["lost"]),
         # Where a crowd fills the room, a new connection may be shut unread; what was sent on was read.
         (lambda: crowded(served(answers=[], closed_s=1.1, first=True), attempted=False), []),
         (lambda: crowded(served(answers=[], closed_s=1.1, first=True), attempted=True), ["lost"]),
