Turn the last circle of imports into one direction: connections beside their endpoint

PooledConnection named its Endpoint, and Endpoint held PooledConnections, in two modules that imported each other (one for types alone). Both are one module's matter: what the pool knows of an address.

--- a/fordstair/net/engines/call.py
+++ b/fordstair/net/engines/call.py
@@ -13,6 +13,7 @@
 from fordstair.core.ports import AttemptFailedError, AttemptRequest, Engine, QueryProgress
 from fordstair.decisions.events import Status
 from fordstair.net.engines.delivery import Delivery
+from fordstair.net.engines.endpoint import PooledConnection
 from fordstair.net.engines.errors import (
     ConnectError,
     ConnectRefusedError,
@@ -22,7 +23,6 @@
 )
 from fordstair.net.engines.http_messages import Headers, HttpRequest, HttpResponse
 from fordstair.net.engines.pool import ConnectionPool
-from fordstair.net.engines.pooled_connection import PooledConnection
 from fordstair.runtime.deadlines import Deadlines
 
 # An engine answers a poll within 250 ms, and must be polled every 2 s: a silent exchange is given up early
--- a/fordstair/net/engines/connector.py
+++ b/fordstair/net/engines/connector.py
@@ -9,10 +9,9 @@
 import trio
 
 from fordstair.net.engines.connection_policies import ConnectRetryPolicy
-from fordstair.net.engines.endpoint import Endpoint
+from fordstair.net.engines.endpoint import Endpoint, PooledConnection
 from fordstair.net.engines.error_mapping import connect_error
 from fordstair.net.engines.errors import ConnectTimeoutError
-from fordstair.net.engines.pooled_connection import PooledConnection
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 
--- a/fordstair/net/engines/endpoint.py
+++ b/fordstair/net/engines/endpoint.py
@@ -1,4 +1,4 @@
-"""What the pool knows of one engine's address."""
+"""What the pool knows of one engine's address: its connections, and who waits for one."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import trio
 
 from fordstair.net.engines.errors import ConnectError
-from fordstair.net.engines.pooled_connection import PooledConnection
+from fordstair.net.engines.http11_connection import HTTP11Connection
 
 
 @dataclass(slots=True, eq=False)
@@ -22,6 +22,14 @@
     evicted: bool = False
 
 
+class PooledConnection(HTTP11Connection):
+    """A connection that goes back to the endpoint it was opened to."""
+
+    def __init__(self, sock: trio.socket.SocketType, stream: trio.abc.Stream, endpoint: Endpoint) -> None:
+        super().__init__(sock, stream, endpoint.address)
+        self.endpoint = endpoint
+
+
 @dataclass(slots=True, eq=False)
 class ConnectionWaiter:
     """A call that waits for a connection: its own connect, or one that another call gives back."""
--- a/fordstair/net/engines/pool.py
+++ b/fordstair/net/engines/pool.py
@@ -13,9 +13,8 @@
     LateConnectPolicy,
 )
 from fordstair.net.engines.connector import CheckPeer, Connector, TlsContextOf
-from fordstair.net.engines.endpoint import ConnectionWaiter, Endpoint
+from fordstair.net.engines.endpoint import ConnectionWaiter, Endpoint, PooledConnection
 from fordstair.net.engines.errors import ConnectError, ConnectTimeoutError
-from fordstair.net.engines.pooled_connection import PooledConnection
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -11,7 +11,7 @@
 import trio
 
 from fordstair.core.ports import AttemptRequest, Call, Engine, QueryProgress
-from fordstair.net.engines.pooled_connection import PooledConnection
+from fordstair.net.engines.endpoint import PooledConnection
 from fordstair.program import Program as Coordination
 from tests.standins import Client
 
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -10,9 +10,9 @@
 
 from fordstair.core.ports import AttemptRequest, Engine, Query
 from fordstair.decisions.engine_list import EngineEntry
+from fordstair.net.engines.endpoint import PooledConnection
 from fordstair.net.engines.errors import ConnectError, ConnectTimeoutError
 from fordstair.net.engines.pool import ConnectionPool
-from fordstair.net.engines.pooled_connection import PooledConnection
 from fordstair.net.engines.rest import RestTransport
 from fordstair.runtime.clock import monotonic_now
 from fordstair.runtime.deadlines import Deadlines
