Fix queries that are not given up at the end: keep the pool until the last task has ended

The pool runs beside the deadlines now, to the end. The new test, whose engine ends the connection of each DELETE, shows a traceback before and none here.

--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -123,17 +123,25 @@
         self.intake.from_configuration(self.config.known)
         async with trio.open_nursery() as nursery:
             scope = trio.CancelScope(shield=True)
-            nursery.start_soon(self._run_deadlines, scope)
+            await nursery.start(self._run_services, scope)
             try:
                 await self._run_parts()
             finally:
                 scope.cancel()
         log.info("counters", **self.counters.snapshot())
 
-    async def _run_deadlines(self, scope: trio.CancelScope) -> None:
-        """Sweep deadlines until the scope is cancelled: the last tasks to end are bounded by them as well."""
+    async def _run_services(
+        self, scope: trio.CancelScope, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run what the last tasks to end need yet, until the scope is cancelled.
+
+        They are bounded by deadlines, and connect to engines to give their queries up.
+        """
         with scope:
-            await self.deadlines.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.deadlines.run)
+                await nursery.start(self.pool.run)
+                task_status.started()
 
     async def _run_parts(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -209,7 +217,6 @@
         await nursery.start(self._handle_signals)
         nursery.start_soon(self._watch_clock)
         nursery.start_soon(self.poll_watch.run)
-        await nursery.start(self.pool.run)
         await nursery.start(self.coordinator.run)
         nursery.start_soon(self.command_channel.run)
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -162,6 +162,33 @@
     play(scene)
 
 
+async def hangs_and_resets(
+    one: RestEngine, method: str, path: str, headers: dict[str, str], body: bytes
+) -> Answered | None:
+    """Answer nothing, and end the connection of a DELETE."""
+    if method != "DELETE":
+        await trio.sleep_forever()
+    return None
+
+
+def test_a_query_is_given_up_on_new_connections_until_the_program_has_ended() -> None:
+    # Guards against a pool that ends before the last tasks, which connect to delete their queries.
+    async def scene() -> None:
+        async with engine(hangs_and_resets) as one, program(config(one.address)) as node:
+            client = await node.client()
+            number = await client.ask("meter-load", limit="20000")
+            await until(lambda: one.posts)
+            node.process.send_signal(signal.SIGTERM)
+            error, _ = await client.answer(number)
+            assert error[0] == "Internal"
+            with trio.fail_after(3.0):
+                assert await node.process.wait() == 0
+            assert not any("Traceback" in line for line in node.log)
+            assert one.calls["DELETE"] > 10
+
+    play(scene)
+
+
 def test_a_pause_that_begins_before_sigkill_and_lasts_over_it_costs_no_answer() -> None:
     # Guards against answers given so shortly before SIGKILL that a pause of the program takes them along.
     async def scene() -> None:
