--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -119,8 +119,8 @@
         self.silent = False
         self._spoken.set()
 
-    def begins(self, stream: trio.SocketStream) -> None:
-        """Called as the first bytes of a call have come; for those who look on."""
+    def arriving(self, stream: trio.SocketStream, *, first: bool) -> None:
+        """Called right before bytes of a call are read, the first ones or more; for those who look on."""
 
     def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
         """Called as each call has come whole, before it is taken up; for those who look on."""
@@ -185,10 +185,9 @@
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    data = await stream.receive_some(READ_BYTES)
-                    if http.their_state is h11.IDLE:
-                        self.begins(stream)
-                    http.receive_data(data)
+                    await trio.lowlevel.wait_readable(stream.socket)
+                    self.arriving(stream, first=http.their_state is h11.IDLE)
+                    http.receive_data(await stream.receive_some(READ_BYTES))
                 elif isinstance(event, h11.Request):
                     request = event
                     body = bytearray()
--- a/fordstair/lab/soak/discovery.py
+++ b/fordstair/lab/soak/discovery.py
@@ -169,7 +169,9 @@
             started = ToldOfStart(connection.coordinator, change.engine, self._now_s())
             self._record.told_starts.append(started)
         if change.state == DRAINING:
-            told = ToldOfDrain(connection.coordinator, change.engine, self._now_s(), connection)
+            told = ToldOfDrain(
+                connection.coordinator, change.engine, self._now_s(), connection, change.number
+            )
             self._record.told.append(told)
 
 
--- a/fordstair/lab/soak/drain_rule.py
+++ b/fordstair/lab/soak/drain_rule.py
@@ -49,7 +49,7 @@
     """Return when a coordinator counts as told of a drain, and what excuses it until then."""
     excuse = NOT_TOLD
     for event in record.told:
-        if (event.coordinator, event.engine) != (coordinator, drain.engine):
+        if (event.coordinator, event.engine) != (coordinator, drain.engine) or event.number < drain.number:
             continue
         if not drain.announced.from_s <= event.written_s < drain.announced.to_s:
             continue
--- a/fordstair/lab/soak/engines.py
+++ b/fordstair/lab/soak/engines.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Mapping
-from contextlib import suppress
 from weakref import WeakKeyDictionary
 
 import trio
@@ -25,6 +24,7 @@
         self._start_s = start_s
         self._latest: dict[str, AttemptRecord] = {}
         self._came_on: WeakKeyDictionary[trio.SocketStream, AttemptRecord] = WeakKeyDictionary()  # the latest
+        self._arrived_s: WeakKeyDictionary[trio.SocketStream, float] = WeakKeyDictionary()
         self._first_byte_s: WeakKeyDictionary[trio.SocketStream, float] = WeakKeyDictionary()
 
     def _now_s(self) -> float:
@@ -34,17 +34,18 @@
         """Count the time of the run from here on."""
         self._start_s = start_s
 
-    def begins(self, stream: trio.SocketStream) -> None:
-        """Note when the first bytes of a call arrived."""
-        with suppress(OSError, trio.ClosedResourceError):
-            self._first_byte_s[stream] = self._now_s() - data_age_s(stream)
+    def arriving(self, stream: trio.SocketStream, *, first: bool) -> None:
+        """Note when bytes of a call arrived: the connection may have been reset once they are handled."""
+        self._arrived_s[stream] = self._now_s() - data_age_s(stream)
+        if first:
+            self._first_byte_s[stream] = self._arrived_s[stream]
 
     def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
         """Write a POST down that has come whole, also where the engine is silent."""
         if method == "POST":
             txn = fields.get("x-txn", "")
             attempt = AttemptRecord(
-                txn, self.name, self._arrival_s(stream), float(fields.get("x-limit-ms", "nan"))
+                txn, self.name, self._arrived_s[stream], float(fields.get("x-limit-ms", "nan"))
             )
             attempt.first_byte_s = self._first_byte_s.get(stream, math.inf)
             attempt.class_name = fields.get("x-lane", "")
@@ -59,13 +60,6 @@
                 attempt.connection_ended_s = self._now_s()
         super().reset_connections()
 
-    def _arrival_s(self, stream: trio.SocketStream) -> float:
-        """Return when what was read last had arrived; where the connection has just ended, this moment."""
-        try:
-            return self._now_s() - data_age_s(stream)
-        except (OSError, trio.ClosedResourceError):
-            return self._now_s()
-
     async def _post(self, fields: dict[str, str], body: bytes) -> tuple[int, list[tuple[str, str]], bytes]:
         attempt = self._latest[fields.get("x-txn", "")]
         before = self.started[attempt.txn]
--- a/fordstair/lab/soak/records.py
+++ b/fordstair/lab/soak/records.py
@@ -75,6 +75,7 @@
 
     engine: str
     announced: Span
+    number: int = 0  # of discovery's event
 
 
 @dataclass(slots=True)
@@ -93,6 +94,7 @@
     engine: str
     written_s: float
     connection: DiscoveryConnection
+    number: int = 0  # of the event; of the latest one, where it is told at a start
 
 
 @dataclass(frozen=True, slots=True)
--- a/fordstair/lab/soak/run.py
+++ b/fordstair/lab/soak/run.py
@@ -184,10 +184,11 @@
     async def _start(self, coordinator: SoakCoordinator) -> None:
         async with self._starts:
             known, draining = self.discovery.known(), self.discovery.draining()
+            number = self.discovery.number
             await coordinator.start(known, self._address(coordinator))
             at_start = DiscoveryConnection(coordinator.name)
             self.record.told += [
-                ToldOfDrain(coordinator.name, engine, self.now_s(), at_start) for engine in draining
+                ToldOfDrain(coordinator.name, engine, self.now_s(), at_start, number) for engine in draining
             ]
 
     def _address(self, coordinator: SoakCoordinator) -> str:
@@ -312,7 +313,7 @@
     async def _drain(self, fault: Fault) -> None:
         if self.discovery.states[fault.name] == DRAINING:
             return
-        entry = Drain(fault.name, Span(self.now_s(), math.inf))
+        entry = Drain(fault.name, Span(self.now_s(), math.inf), self.discovery.number + 1)
         self.record.drains.append(entry)
         self.discovery.announce(fault.name, DRAINING)
         await trio.sleep(fault.lasts_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -73,6 +73,13 @@
     return record
 
 
+def with_an_older_drain(record: SoakRecord) -> SoakRecord:
+    """Have the coordinator be told, in this drain, that it knows of an earlier one."""
+    record.drains[0].number = 7
+    record.told.append(ToldOfDrain("n0", "s-1", 0.35, DiscoveryConnection("n0"), 3))
+    return record
+
+
 def with_late_attempt(record: SoakRecord, arrived_s: float, first_byte_s: float) -> SoakRecord:
     """Have the attempt arrive at another time, in pieces."""
     attempt, request = record.attempts[0], record.requests[0]
@@ -183,6 +190,7 @@
         (lambda: with_late_attempt(with_drain(served(), 0.1, lost_s=0.2), 7.8, 7.8), ["drain"]),
         (lambda: with_late_attempt(with_drain(served(), 1.0), 1.7, 1.5), []),  # it begins with its first byte
         (lambda: with_late_attempt(with_drain(served(), 1.0), 1.7, 1.65), ["drain"]),
+        (lambda: with_an_older_drain(with_drain(served(), 0.1, written_s=0.3, lost_s=0.4)), []),
         # What is handed on, and what a refusal says.
         (lambda: served(statement=b"SELECT a"), ["handed on"]),
         (lambda: refused("400"), []),
