Fix limits told too long after short reads: ask how much has come before each read

A read that returned less than was asked for counted as having read all there was, and what it left behind was dated by the next read. FIONREAD right before a read tells what there is; only a read of all that drains the connection, for the delay and for the wait before an attempt begins. The new test with one byte a read sees a delay of 0 before.

--- a/fordstair/net/clients/read_delay.py
+++ b/fordstair/net/clients/read_delay.py
@@ -2,15 +2,32 @@
 
 from __future__ import annotations
 
+import fcntl
+import sys
+import termios
+
 import trio
 
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.runtime.deadlines import Deadlines
 
 READ_BYTES = 65_536  # at most at a time
+_COUNT_BYTES = 4  # of the number that FIONREAD gives, see tty_ioctl(4)
 SHORT_GAP_MS = 20.0  # between two waits of a connection: what came in it is not late
 
 
+def unread_bytes(stream: trio.abc.Stream) -> int:
+    """Return how many bytes have come on a connection and are not read; 0 where the system does not say."""
+    if not isinstance(stream, trio.SocketStream) or stream.socket.fileno() < 0:
+        return 0
+    count = bytearray(_COUNT_BYTES)
+    try:
+        fcntl.ioctl(stream.socket.fileno(), termios.FIONREAD, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 class ReadDelay:
     """Estimates the delay of what is read on one connection.
 
@@ -28,6 +45,7 @@
         self._drained_ms = deadlines.clock()  # when all that had come was read
         self._unwatched_since_ms = self._drained_ms - accept_delay_ms
         self._came_unwatched = False  # what is read next was here before the wait for it
+        self._unread_bytes = 0  # as the latest wait for bytes ended
         self.last_ms = 0.0  # of what was read last
         self.read_ms = self._drained_ms  # when that was read
 
@@ -39,12 +57,20 @@
     def note_readable(self) -> None:
         """The wait is over: bytes are read now, in this turn of the event loop."""
         now_ms = self.read_ms = self._deadlines.clock()
+        self._unread_bytes = unread_bytes(self._stream)
         if self._came_unwatched:
             self.last_ms = now_ms - self._unwatched_since_ms
         else:
             self.last_ms = self._poll_watch.max_delay_ms(self._drained_ms)
         self._unwatched_since_ms = now_ms - self.last_ms  # the same holds for what is left behind
 
+    def note_read(self, size: int) -> bool:
+        """So many bytes were read; return whether that was all there was (a read may return less)."""
+        drained = size >= self._unread_bytes
+        if drained:
+            self.note_drained(self.read_ms)
+        return drained
+
     def note_drained(self, now_ms: float) -> None:
         """All that had come has been read."""
         self._drained_ms = now_ms
@@ -69,8 +95,7 @@
         await trio.lowlevel.wait_readable(self._stream.socket)
         self.read_delay.note_readable()
         data = bytes(await self._stream.receive_some(most))
-        if len(data) < most:
-            self.read_delay.note_drained(self.read_delay.read_ms)
+        self.read_delay.note_read(len(data))
         return data
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -196,9 +196,7 @@
             self._waits_for_bytes = None
             self._handling = True
         self._received_ms = self._read_delay.read_ms
-        self._drained = len(chunk) < READ_BYTES
-        if self._drained:
-            self._read_delay.note_drained(self._received_ms)
+        self._drained = self._read_delay.note_read(len(chunk))
         return chunk
 
     async def _read(self) -> None:
--- a/tests/test_read_delay.py
+++ b/tests/test_read_delay.py
@@ -8,7 +8,7 @@
 import trio
 
 from fordstair.net.clients.poll_watch import PollWatch
-from fordstair.net.clients.read_delay import SHORT_GAP_MS, ReadDelay
+from fordstair.net.clients.read_delay import SHORT_GAP_MS, ReadDelay, TimedStream
 from fordstair.runtime.deadlines import Deadlines
 
 
@@ -46,3 +46,32 @@
             await stream.aclose()
 
     trio.run(scene)
+
+
+def test_what_a_short_read_leaves_behind_is_as_old_as_what_it_took(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a read that returns less than there is, and counts as having read all there was.
+    now_ms = [10_000.0]
+    reads = trio.SocketStream.receive_some
+
+    async def one_byte(stream: trio.SocketStream, most: int | None = None) -> bytes:
+        data = await reads(stream, 1)
+        now_ms[0] += 30.0
+        return data
+
+    async def scene() -> None:
+        ours, peer = socket.socketpair()
+        with peer:
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(ours))
+            delay = ReadDelay(stream, PollWatch(), Deadlines(lambda: now_ms[0]), 0.0)
+            timed = TimedStream(stream, delay)
+            peer.send(b"request")
+            for number in range(7):
+                assert len(await timed.receive_some()) == 1
+                assert delay.last_ms == 30.0 * number
+            peer.send(b"n")
+            await timed.receive_some()
+            assert delay.last_ms <= 30.0  # all had been read before
+            await stream.aclose()
+
+    monkeypatch.setattr(trio.SocketStream, "receive_some", one_byte)
+    trio.run(scene)
