Fix the soak's end by a wait on a closed socket: a stand-in goes on after a reset

Such a wait raises ClosedResourceError, here and where the OData front reads. The new test fails before.

--- a/fordstair/lab/engine.py
+++ b/fordstair/lab/engine.py
@@ -29,6 +29,7 @@
     REPORT_INTERVAL_MS,
 )
 from fordstair.lab.machine import Job, Machine
+from fordstair.net.clients.read_delay import wait_readable
 from fordstair.runtime.clock import monotonic_now
 
 READ_BYTES = 65_536
@@ -185,7 +186,7 @@
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    await trio.lowlevel.wait_readable(stream.socket)
+                    await wait_readable(stream)
                     self.arriving(stream, first=http.their_state is h11.IDLE)
                     http.receive_data(await stream.receive_some(READ_BYTES))
                 elif isinstance(event, h11.Request):
--- a/fordstair/net/clients/read_delay.py
+++ b/fordstair/net/clients/read_delay.py
@@ -16,6 +16,13 @@
 SHORT_GAP_MS = 20.0  # between two waits of a connection: what came in it is not late
 
 
+async def wait_readable(stream: trio.SocketStream) -> None:
+    """Wait until bytes have come, or the end; raise trio.ClosedResourceError where it is closed here."""
+    if stream.socket.fileno() < 0:
+        raise trio.ClosedResourceError
+    await trio.lowlevel.wait_readable(stream.socket)
+
+
 def unread_bytes(stream: trio.abc.Stream) -> int:
     """Return how many bytes have come on a connection and are not read; 0 where the system does not say."""
     if not isinstance(stream, trio.SocketStream) or stream.socket.fileno() < 0:
@@ -92,7 +99,7 @@
         most = max_bytes or READ_BYTES
         await trio.lowlevel.checkpoint_if_cancelled()
         self.read_delay.begin_wait()
-        await trio.lowlevel.wait_readable(self._stream.socket)
+        await wait_readable(self._stream)
         self.read_delay.note_readable()
         data = bytes(await self._stream.receive_some(most))
         self.read_delay.note_read(len(data))
--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from contextlib import suppress
 
 import pytest
 import trio
@@ -43,6 +44,35 @@
     play(scene)
 
 
+def test_an_engine_that_resets_a_connection_between_two_reads_goes_on_with_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a wait for bytes on a socket that is closed, which ends the whole soak.
+    async def scene() -> None:
+        one = StandIn("s-1", Machine(8.0))
+        resets = iter([True])
+        reads = trio.SocketStream.receive_some
+
+        async def resets_after(stream: trio.SocketStream, most: int | None = None) -> bytes:
+            data = await reads(stream, most)
+            if most and next(resets, False):  # the engine names how much it reads, its client does not
+                one.reset_connections()
+            return data
+
+        monkeypatch.setattr(trio.SocketStream, "receive_some", resets_after)
+        async with trio.open_nursery() as nursery:
+            host, _, port = (await nursery.start(one.serve)).partition(":")
+            for piece in (POST[:20], POST):  # the first one is reset with its message half read
+                async with await trio.open_tcp_stream(host, int(port)) as client:
+                    await client.send_all(piece)
+                    with suppress(trio.BrokenResourceError):
+                        await client.receive_some()
+            assert one.started["0f"] == 1
+            nursery.cancel_scope.cancel()
+
+    play(scene)
+
+
 def test_an_attempt_is_dated_by_its_arrival_though_the_soak_is_late_to_read_it() -> None:
     # Guards against limits that seem too long, and sends that seem late, where it is the judge that is late.
     late_s = 0.3
