--- a/fordstair/lab/soak/run.py
+++ b/fordstair/lab/soak/run.py
@@ -20,11 +20,12 @@
 from fordstair.lab.soak.clients import Clients
 from fordstair.lab.soak.coordinators import (
     CROWDED_SOCKETS,
+    HOST,
     MEMORY_MB,
     USUAL_SOCKETS,
     SoakCoordinator,
 )
-from fordstair.lab.soak.crowd import Crowd
+from fordstair.lab.soak.crowd import crowd
 from fordstair.lab.soak.discovery import DRAINING, READY, DiscoveryStandIn
 from fordstair.lab.soak.engines import WatchedEngine
 from fordstair.lab.soak.judgement import Judgement, Violation
@@ -196,11 +197,9 @@
 
     async def _play(self, faults: list[Fault]) -> None:
         """Send traffic and inject faults; return once the last request has ended."""
-        async with trio.open_nursery() as crowds:
-            for coordinator in self.coordinators.values():
-                crowds.start_soon(Crowd(coordinator, self.plan.crowd, self.plan.seed).run)
+        ports = [coordinator.port for coordinator in self.coordinators.values()]
+        async with crowd(HOST, ports, self.plan.crowd, self.plan.seed):
             await self._send_and_inject(faults)
-            crowds.cancel_scope.cancel()
 
     async def _send_and_inject(self, faults: list[Fault]) -> None:
         async with trio.open_nursery() as nursery:
