--- a/fordstair/core/arrival_pacer.py
+++ b/fordstair/core/arrival_pacer.py
@@ -28,13 +28,12 @@
     async def run(self) -> None:
         """Begin a new turn after each one in which something has passed, until cancelled."""
         while True:
-            await self._wakeup.wait()
+            await self._wakeup.wait()  # for the next turn, also where it is set
             self._wakeup = trio.Event()
             self._passed = 0
             self._release(self._known, ARRIVALS_PER_TURN - 1)
             self._release(self._new, ARRIVALS_PER_TURN - self._passed)
             self._release(self._known, ARRIVALS_PER_TURN - self._passed)
-            await trio.lowlevel.checkpoint()
 
     def pass_now(self, *, new_client: bool) -> bool:
         """Let a request pass if none of its line waits and the turn has room; return whether it may."""
