Fix requests reset where a pause passes over a drain's end: count the flush in polls

The flush was 300 ms of real time; it is 30 polls of 10 ms now, of which a pause takes one. The new test fails before.

--- a/fordstair/program/graceful_shutdown.py
+++ b/fordstair/program/graceful_shutdown.py
@@ -57,8 +57,13 @@
             await self._deadlines.sleep(OPEN_POLL_MS)
         self._coordinator.withdraw_all()
         self._rpc.close()
-        flush_until_ms = self._deadlines.clock() + FLUSH_MS  # a pause may have passed over answer_ms
-        while self._deadlines.clock() < flush_until_ms and not self._all_closed():
+        await self._flush()
+
+    async def _flush(self) -> None:
+        """Wait until all is closed, for FLUSH_MS of which a pause of the program takes one poll at most."""
+        for _ in range(round(FLUSH_MS / FLUSH_POLL_MS)):
+            if self._all_closed():
+                return
             await self._deadlines.sleep(FLUSH_POLL_MS)
 
     def _kill_ms(self, requested_ms: float) -> float:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -274,6 +274,40 @@
     play(scene)
 
 
+def test_what_comes_in_a_pause_at_the_end_of_a_drain_is_answered_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a flush that a pause passes over, and a reset of what was written meanwhile.
+    gate = hold_reads(monkeypatch, taken=False)
+    gate.open.set()
+
+    async def scene() -> None:
+        async with engine() as one, inside(config(one.address)) as node:
+            ahead = [0.0]
+            node.deadlines.clock = lambda: monotonic_now() + ahead[0]
+            gate.ports.add(node.listeners[0].socket.getsockname()[1])  # type: ignore[attr-defined]
+            client = await connect(node)
+            assert await client.answer(await client.ask()) == (None, ROWS)
+            gate.open = trio.Event()
+            await client.ask("nonsense")
+            await until(lambda: gate.held)
+            number = await client.ask()
+            node.stop.make(node.deadlines.clock())
+            await wait_all_tasks_blocked()
+            ahead[0] = 800.0  # past the time for new clients: nothing is open, and the flush begins
+            node.deadlines.sweep()
+            await until(lambda: node.rpc.closing)
+            ahead[0] = 1_800.0  # the program is paused
+            node.deadlines.sweep()
+            for _ in range(5):
+                await trio.lowlevel.checkpoint()
+            gate.open.set()
+            error, _ = await client.answer(number)
+            assert error[0] == "Overloaded"
+
+    play(scene)
+
+
 def test_a_resting_connection_is_shut_at_the_end_of_a_drain_and_what_crosses_that_is_not_sent_on() -> None:
     async def scene() -> None:
         async with engine() as one, inside(config(one.address)) as node:
