--- a/fordstair/lab/connection_burst.py
+++ b/fordstair/lab/connection_burst.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import msgpack
 import msgspec
@@ -24,6 +25,7 @@
 
 from fordstair.lab.coordinator_process import CoordinatorProcess
 from fordstair.lab.engine import Answer, StandIn
+from fordstair.lab.kernel_times import data_age_s
 from fordstair.lab.machine import Machine
 from fordstair.lab.platform_settings import SETTINGS
 from fordstair.runtime.clock import monotonic_now
@@ -63,14 +65,26 @@
 
 
 class _RecordingEngine(StandIn):
-    """An engine that answers soon, and notes which time limit came with which client's request."""
+    """An engine that answers soon, and notes which time limit came with which client's request, and when.
+
+    A request is dated by its arrival, as the kernel tells it: this process may be late to read it.
+    """
 
     def __init__(self, name: str, told: dict[int, tuple[float, float]]) -> None:
         super().__init__(name, Machine(cores=CORES), sessions=10_000)
         self._told = told
+        self._arrived_ms: WeakKeyDictionary[trio.SocketStream, float] = WeakKeyDictionary()
+        self._posted_ms: dict[str, float] = {}  # by transaction id
+
+    def arriving(self, stream: trio.SocketStream, *, first: bool) -> None:
+        self._arrived_ms[stream] = monotonic_now() - data_age_s(stream) * 1e3
+
+    def noticed(self, method: str, fields: Mapping[str, str], stream: trio.SocketStream) -> None:
+        if method == "POST":
+            self._posted_ms[fields["x-txn"]] = self._arrived_ms[stream]
 
     async def _post(self, fields: dict[str, str], body: bytes) -> Answer:
-        self._told[client_of(body)] = (monotonic_now(), float(fields["x-limit-ms"]))
+        self._told[client_of(body)] = (self._posted_ms[fields["x-txn"]], float(fields["x-limit-ms"]))
         return await super()._post(fields, body)
 
 
