--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,12 +8,12 @@
 from pathlib import Path
 
 from standins.engine import Answer, Engine, encode, rows_of
-from standins.site import CannotRunError, Site
+from standins.site import CannotRunError, Site, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 60.0
 RATE_PER_S = 140.0
-SPOILT_SHARE = 0.03  # three good answers in a hundred
+SPOILT_SHARE = 0.04  # one good answer in twenty-five
 MIN_SERVED = 1_000
 
 
@@ -55,4 +55,4 @@
         await site.stop()
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(main))
