--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -113,8 +113,18 @@
             await self._wait_ready(index)
         self.note(f"started: {len(self.engines)} engines, {self._coordinator_count} coordinators")
 
+    def note_runs(self) -> None:
+        """Write to the record what the engines ran, and how each run ended."""
+        for engine in self.engines:
+            for run in engine.all_runs:
+                self.note(
+                    f"engine {engine.name} ran {run.txn} {run.lane} pages={len(run.pages)} "
+                    f"from {run.started_s - self.began_s:.3f}: {run.state}"
+                )
+
     async def stop(self) -> None:
         """End everything that was started."""
+        self.note_runs()
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
