Mend pages served without their last rows where the length told was too small

Cause: a page of the REST protocol ends where the length of its response says. A length that ends inside a row was found; one that ends after a row, or is 0, made a page that looked whole. The rest of the page was seen behind the response, but counted against reuse of the connection alone. A last chunk that comes too early does the same, and rows behind an empty chunk can be parsed as trailers.

Change: PageLengthPolicy is asked for each REST page that bytes have followed, read or still in the socket. Bytes that can be no row and no chunk show that the page had ended; it is served at once. Others leave it open, and the page is requested again by its id; the query is not sent again. An engine repeats a page unchanged, so a repeat with the same rows and other text behind them, or text that never becomes a line, was noise. A page told too short each time fails. OData pages are JSON documents, of which no part can be parsed, and are served as before. Sound responses pay one look at the socket. Counter engine.pages_in_doubt.

--- a/fordstair/net/engines/call.py
+++ b/fordstair/net/engines/call.py
@@ -21,7 +21,7 @@
     ExchangeError,
     ProtocolError,
 )
-from fordstair.net.engines.http_messages import Headers, HttpRequest, HttpResponse
+from fordstair.net.engines.http_messages import STATUS_OK, Headers, HttpRequest, HttpResponse
 from fordstair.net.engines.pool import ConnectionPool
 from fordstair.runtime.deadlines import Deadlines
 
@@ -35,6 +35,8 @@
 # Delays a request on another connection, so that it does not overtake the POST.
 OVERTAKE_MARGIN_MS = 20.0
 CONTROL_REQUEST_TIMEOUT_MS = 600.0
+# Bounds the wait for the rest of a line that has followed a response: engines send a page in one piece.
+SURPLUS_LINE_TIMEOUT_MS = 20.0
 # Prevents a busy loop when connects fail immediately.
 CONNECT_RETRY_DELAY_MS = 50.0
 
@@ -60,6 +62,8 @@
     """One attempt; a subclass builds the requests and parses the responses of its protocol."""
 
     poll_headers: ClassVar[Headers] = ()
+    # Whether a page that is cut off cannot be parsed, whatever the length of its response.
+    pages_are_self_delimiting: ClassVar[bool]
 
     def __init__(self, transport: HttpTransport, attempt_request: AttemptRequest) -> None:
         self.pool = transport.pool
@@ -107,7 +111,7 @@
             with self.deadlines.limit(self.delivery.send_started_ms + RESPONSE_TIMEOUT_MS):
                 response = await connection.exchange(request)
                 self.delivery.read_or_lost = True
-                return _read_or_desynchronize(connection, response, self.read_progress)
+                return await self._read(connection, response, self.read_progress)
         except ExchangeError as error:
             failure = str(error)
         finally:
@@ -175,7 +179,7 @@
                 with self.deadlines.limit_for(RESPONSE_TIMEOUT_MS) as response_limit:
                     connection = await self.pool.acquire(self.address, fresh=fresh)
                     response = await self._exchange_get(connection, path, response_limit)
-                    return _read_or_desynchronize(connection, response, read)
+                    return await self._read(connection, response, read)
             except ConnectRefusedError as error:
                 # The engine's process has gone and can no longer read the POST.
                 self.delivery.read_or_lost = True
@@ -269,13 +273,23 @@
         self.delivery.record_poll_status(response.status)
         return response
 
+    async def _read(
+        self,
+        connection: PooledConnection,
+        response: HttpResponse,
+        read: Callable[[HttpResponse], ResultT],
+    ) -> ResultT:
+        """Parse a response; one with rows is parsed with its surplus if that shows where they end.
 
-def _read_or_desynchronize(
-    connection: PooledConnection, response: HttpResponse, read: Callable[[HttpResponse], ResultT]
-) -> ResultT:
-    """Parse a response; after a ProtocolError its connection is not reused."""
-    try:
-        return read(response)
-    except ProtocolError:
-        connection.desynchronized = True
-        raise
+        After a ProtocolError the connection is not reused.
+        """
+        needs_surplus = response.status == STATUS_OK and not self.pages_are_self_delimiting
+        if needs_surplus and connection.may_have_surplus:
+            with self.deadlines.limit_for(SURPLUS_LINE_TIMEOUT_MS):
+                await connection.receive_surplus_line()
+            response.surplus = connection.surplus
+        try:
+            return read(response)
+        except ProtocolError:
+            connection.desynchronized = True
+            raise
--- a/fordstair/net/engines/http11_connection.py
+++ b/fordstair/net/engines/http11_connection.py
@@ -11,7 +11,11 @@
 import h11
 import trio
 
-from fordstair.net.engines.error_mapping import EXCHANGE_ERRORS, map_exchange_error
+from fordstair.net.engines.error_mapping import (
+    EXCHANGE_ERRORS,
+    LOST_CONNECTION_ERRORS,
+    map_exchange_error,
+)
 from fordstair.net.engines.errors import ConnectionLostError, ProtocolError
 from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
 
@@ -73,9 +77,31 @@
         """
         states = (self._h11.our_state, self._h11.their_state)
         between_requests = states in ((h11.IDLE, h11.IDLE), (h11.DONE, h11.DONE))
-        unsolicited = self.desynchronized or self._h11.trailing_data[0] or self.sock.is_readable()
+        unsolicited = self.desynchronized or self.may_have_surplus
         return between_requests and not unsolicited
 
+    @property
+    def surplus(self) -> bytes:
+        """The bytes received after the response."""
+        return self._h11.trailing_data[0]
+
+    @property
+    def may_have_surplus(self) -> bool:
+        """Return whether bytes have followed the response, or the stream has ended."""
+        return bool(self.surplus) or self.sock.is_readable()
+
+    async def receive_surplus_line(self) -> None:
+        """Receive until ``surplus`` holds a whole line, is too long for one, or the stream ends.
+
+        The caller bounds the time. If cancelled, what was received so far is kept.
+        """
+        with contextlib.suppress(*LOST_CONNECTION_ERRORS):
+            while b"\n" not in self.surplus and len(self.surplus) < READ_BYTES:
+                received = await self.stream.receive_some(READ_BYTES)
+                if not received:
+                    return
+                self._h11.receive_data(received)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether received bytes are unread; False after an end of stream or a reset.
@@ -128,6 +154,7 @@
                     raise ProtocolError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
                 response.body = b"".join(parts)
+                response.has_trailers = bool(event.headers)
                 return response
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionLostError("connection closed before a complete response")
--- a/fordstair/net/engines/http_messages.py
+++ b/fordstair/net/engines/http_messages.py
@@ -7,6 +7,7 @@
 
 Headers = Sequence[tuple[str, str]]
 
+STATUS_OK = 200
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -27,11 +28,19 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """One response; header names are in lower case."""
+    """One response; header names are in lower case.
+
+    Attributes:
+        has_trailers: whether fields followed the last chunk of the body.
+        surplus: bytes that followed the response although no further request had been sent, up to the end of
+            their first line at least; filled in only where the end of the body is to be verified.
+    """
 
     status: int
     headers: dict[bytes, bytes]
     body: bytes
+    has_trailers: bool = False
+    surplus: bytes = b""
 
     def header(self, name: bytes, default: str = "") -> str:
         """Return the value of a header as text."""
--- a/fordstair/net/engines/odata.py
+++ b/fordstair/net/engines/odata.py
@@ -23,6 +23,7 @@
     """One attempt: POST the action with respond-async, poll its status monitor, follow its next links."""
 
     poll_headers: ClassVar[Headers] = odata_wire.VERSION_HEADERS
+    pages_are_self_delimiting: ClassVar[bool] = True  # JSON documents
 
     def __init__(self, transport: HttpTransport, attempt_request: AttemptRequest) -> None:
         super().__init__(transport, attempt_request)
--- a/fordstair/net/engines/rest.py
+++ b/fordstair/net/engines/rest.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from fordstair.core.ports import AttemptRequest, Call, QueryProgress
 from fordstair.decisions.events import Status
 from fordstair.net.engines import rest_wire
 from fordstair.net.engines.call import CONTROL_REQUEST_TIMEOUT_MS, HttpCall, HttpTransport
+from fordstair.net.engines.errors import ProtocolError
 from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
+from fordstair.net.engines.page_length import PageLengthPolicy
 
 
 class RestTransport(HttpTransport):
@@ -20,10 +24,13 @@
 class RestCall(HttpCall):
     """One attempt."""
 
+    pages_are_self_delimiting: ClassVar[bool] = False  # rows of text
+
     def __init__(self, transport: HttpTransport, attempt_request: AttemptRequest) -> None:
         super().__init__(transport, attempt_request)
         self._page_count = 0
         self._page_number = 0
+        self._length_policy = PageLengthPolicy()
 
     @property
     def path(self) -> str:
@@ -44,6 +51,7 @@
         self._page_number += 1
         if self._page_number >= self._page_count:
             return None
+        self._length_policy = PageLengthPolicy()
         path = rest_wire.page_path(self.attempt_request.query.transaction_id, self._page_number)
         return await self.get(path, self._read_page)
 
@@ -63,10 +71,19 @@
             raise self.ended_error(status, f"status {response.status}", report)
         rows = rest_wire.complete_rows(response.body)
         self._page_count = rest_wire.page_count(response)
+        self._check_length(response)
         self.delivery.ended = True
         return QueryProgress(False, rows, load_report=report)
 
     def _read_page(self, response: HttpResponse) -> bytes:
         if response.status != rest_wire.STATUS_OK:
             raise self.ended_error(Status.ERROR, f"page {self._page_number}: status {response.status}")
-        return rest_wire.page_rows(response, self._page_number)
+        rows = rest_wire.page_rows(response, self._page_number)
+        self._check_length(response)
+        return rows
+
+    def _check_length(self, response: HttpResponse) -> None:
+        """Raise ProtocolError if rows of the page may have followed the response."""
+        if response.surplus and self._length_policy.may_be_truncated(response):
+            self.pool.counters.add("engine.pages_in_doubt")
+            raise ProtocolError("rows may be missing: the response was followed by what may be rows")
--- a/fordstair/net/engines/rest_wire.py
+++ b/fordstair/net/engines/rest_wire.py
@@ -9,12 +9,12 @@
 from fordstair.net.decimal_text import decimal_number
 from fordstair.net.engines.errors import ProtocolError
 from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
+from fordstair.net.engines.page_length import SEPARATORS_PER_ROW
 
 QUERIES_PATH = "/o"
 STATUS_OK = 200
 STATUS_RUNNING = 202
 MAX_PAGES = 1_000
-_SEPARATORS_PER_ROW = 2  # A row has three columns.
 
 _REQUEST_ID = "X-Txn"
 _REQUEST_CLASS = "X-Lane"
@@ -114,7 +114,7 @@
     """Return a page of complete rows; raise ProtocolError for one that a wrong length has truncated."""
     ends_complete = not body or body.endswith(b"\n")
     if not ends_complete or (
-        body and any(row.count(b"\t") != _SEPARATORS_PER_ROW for row in body[:-1].split(b"\n"))
+        body and any(row.count(b"\t") != SEPARATORS_PER_ROW for row in body[:-1].split(b"\n"))
     ):
         raise ProtocolError("the page contains an incomplete row")
     return body
