Mend an OSError in the log of a program that gets a signal as its event loop ends

Cause: trio closes the socket pair that signals wake it with before it unregisters it; a signal in between is written to a closed descriptor.

Evidence: with a signal forced into that moment, a program that drains prints the same line (Bad file descriptor). The new test does this; it fails with trio.run(program.run) as before, and passes with the change.

Change: run_program unregisters the descriptor once the program has drained.

--- a/fordstair/cli/serve.py
+++ b/fordstair/cli/serve.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import trio
-
 from fordstair.configuration import operator_file
 from fordstair.configuration.errors import ConfigError, problem_lines
 from fordstair.configuration.platform import Config
 from fordstair.logs.handler import start_logging
 from fordstair.program import Program
+from fordstair.program.event_loop import run_program
 
 
 def run(path: str) -> None:
@@ -29,7 +28,7 @@
         )
         if program.console_server is not None:
             handler.listeners.append(program.console_server.add_log_line)
-        trio.run(program.run)
+        run_program(program)
     except* ConfigError as group:
         raise ConfigError("\n".join(f"{path}: {line}" for line in problem_lines(group))) from None
     finally:
--- a/fordstair/entry_point.py
+++ b/fordstair/entry_point.py
@@ -8,11 +8,10 @@
 import sys
 from typing import TYPE_CHECKING
 
-import trio
-
 from fordstair.configuration.errors import ConfigError, problem_lines
 from fordstair.configuration.platform import Config, load_config
 from fordstair.program import Program
+from fordstair.program.event_loop import run_program
 from fordstair.runtime.event_log import PlainFormatter
 
 if TYPE_CHECKING:
@@ -57,7 +56,7 @@
         run(operator_path)
         return
     config, operator = read_configuration(operator_path)
-    trio.run(Program(config, operator, load_config).run)
+    run_program(Program(config, operator, load_config))
 
 
 def _log_to_standard_error() -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,15 +6,18 @@
 import signal
 import socket
 import time
+from pathlib import Path
 
 import msgpack
 import pytest
 import trio
+import ujson
 from trio.testing import MockClock, wait_all_tasks_blocked
 
 from fordstair.configuration.platform import parse
 from fordstair.core.ports import Engine, Query
 from fordstair.decisions.engine_list import EngineEntry, ListUpdateKind
+from fordstair.lab.coordinator_process import CoordinatorProcess
 from fordstair.net.clients.listener import ClientListener
 from fordstair.net.clients.odata_statements import PendingReply
 from fordstair.net.clients.poll_watch import PollWatch
@@ -108,6 +111,37 @@
     trio.run(scene, clock=MockClock(autojump_threshold=0.0))
 
 
+# Runs the program; a signal arrives right before trio unregisters the socket that signals wake it with.
+SIGNAL_AT_THE_END = """
+import os, signal
+signal.signal(signal.SIGALRM, lambda *_: None)
+register = signal.set_wakeup_fd
+def register_late(fd, **options):
+    if fd == -1:
+        os.kill(os.getpid(), signal.SIGALRM)
+    return register(fd, **options)
+signal.set_wakeup_fd = register_late
+from fordstair.entry_point import main
+raise SystemExit(main())
+"""
+
+
+def test_a_signal_at_the_end_of_the_event_loop_leaves_nothing_on_standard_error(tmp_path: Path) -> None:
+    # Guards against "Exception ignored when trying to write to the signal wakeup fd" from a sound program.
+    async def scene() -> None:
+        configuration = tmp_path / "config.json"
+        configuration.write_text(ujson.dumps(config("127.0.0.1:1")))
+        process = CoordinatorProcess(
+            ["-c", SIGNAL_AT_THE_END], tmp_path / "log", {"RELAY_CONFIG": str(configuration)}
+        )
+        await process.wait_listening(1)
+        process.terminate()
+        assert await process.wait() == 0
+        assert not [line for line in process.log_lines() if not line.startswith("INFO ")]
+
+    run_with_timeout(scene)
+
+
 SIGKILL_AFTER_S = 3.7  # the earliest SIGKILL after SIGTERM was sent
 
 
