Name the HTTP statuses of engine responses once

200 and 202 stood in the wire formats of both protocols, and 204 in the connection; they stand in http_messages now.

--- a/fordstair/net/engines/http11_connection.py
+++ b/fordstair/net/engines/http11_connection.py
@@ -17,11 +17,10 @@
     map_exchange_error,
 )
 from fordstair.net.engines.errors import ConnectionLostError, ProtocolError
-from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
+from fordstair.net.engines.http_messages import STATUS_NO_CONTENT, HttpRequest, HttpResponse
 
 READ_BYTES = 16_384
 MAX_RESPONSE_BYTES = 1024 * 1024
-_NO_CONTENT = 204
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # close(2) drops unsent bytes and resets the connection
 
 
@@ -145,7 +144,7 @@
             elif isinstance(event, h11.Response):
                 response.status = event.status_code
                 response.headers = dict(event.headers)
-                if response.status != _NO_CONTENT:
+                if response.status != STATUS_NO_CONTENT:
                     _check_length(response.headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
--- a/fordstair/net/engines/http_messages.py
+++ b/fordstair/net/engines/http_messages.py
@@ -8,6 +8,8 @@
 Headers = Sequence[tuple[str, str]]
 
 STATUS_OK = 200
+STATUS_ACCEPTED = 202
+STATUS_NO_CONTENT = 204
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
--- a/fordstair/net/engines/odata.py
+++ b/fordstair/net/engines/odata.py
@@ -8,7 +8,7 @@
 from fordstair.decisions.events import Status
 from fordstair.net.engines import odata_wire, rest_wire
 from fordstair.net.engines.call import HttpCall, HttpTransport
-from fordstair.net.engines.http_messages import Headers, HttpRequest, HttpResponse
+from fordstair.net.engines.http_messages import STATUS_ACCEPTED, STATUS_OK, Headers, HttpRequest, HttpResponse
 
 
 class ODataTransport(HttpTransport):
@@ -57,7 +57,7 @@
     def read_progress(self, response: HttpResponse) -> QueryProgress:
         """Parse progress: 202 names the monitor, a result is the first page, anything else is a failure."""
         report = rest_wire.load_report(response, self.load_report_fields)
-        if response.status == odata_wire.STATUS_RUNNING:
+        if response.status == STATUS_ACCEPTED:
             self._record_monitor(response)
             return QueryProgress(True, load_report=report)
         if not odata_wire.result_succeeded(response):
@@ -79,7 +79,7 @@
         self._poll_interval_ms = odata_wire.poll_interval_ms(response)
 
     def _read_page(self, response: HttpResponse) -> bytes:
-        if response.status != odata_wire.STATUS_OK:
+        if response.status != STATUS_OK:
             raise self.ended_error(Status.ERROR, f"next page: status {response.status}")
         return self._read_rows(response)
 
--- a/fordstair/net/engines/odata_wire.py
+++ b/fordstair/net/engines/odata_wire.py
@@ -16,15 +16,13 @@
 from fordstair.core.ports import Query
 from fordstair.net.decimal_text import decimal_number
 from fordstair.net.engines.errors import ProtocolError
-from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
+from fordstair.net.engines.http_messages import STATUS_OK, HttpRequest, HttpResponse
 
 ROOT = "/odata/"
 ACTION_PATH = ROOT + "RunStatement"
 VERSION_HEADERS = (("OData-Version", "4.01"), ("OData-MaxVersion", "4.01"), ("Accept", "application/json"))
 DEFAULT_POLL_INTERVAL_MS = 100.0
 MAX_POLL_INTERVAL_MS = 1_000.0
-STATUS_OK = 200
-STATUS_RUNNING = 202
 _REQUEST_TARGET = re.compile(r"[!-~]+", re.ASCII)
 # Bounds an engine's own text in an error message.
 _MAX_QUOTED_CHARS = 80
--- a/fordstair/net/engines/rest.py
+++ b/fordstair/net/engines/rest.py
@@ -9,7 +9,7 @@
 from fordstair.net.engines import rest_wire
 from fordstair.net.engines.call import CONTROL_REQUEST_TIMEOUT_MS, HttpCall, HttpTransport
 from fordstair.net.engines.errors import ProtocolError
-from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
+from fordstair.net.engines.http_messages import STATUS_ACCEPTED, STATUS_OK, HttpRequest, HttpResponse
 from fordstair.net.engines.page_length import PageLengthPolicy
 
 
@@ -64,9 +64,9 @@
     def read_progress(self, response: HttpResponse) -> QueryProgress:
         """Parse progress: 202 is still running, 200 is page 0, any other status is a failure."""
         report = rest_wire.load_report(response, self.load_report_fields)
-        if response.status == rest_wire.STATUS_RUNNING:
+        if response.status == STATUS_ACCEPTED:
             return QueryProgress(True, note=rest_wire.note(response), load_report=report)
-        if response.status != rest_wire.STATUS_OK:
+        if response.status != STATUS_OK:
             status = rest_wire.failure_status(response, response.status)
             raise self.ended_error(status, f"status {response.status}", report)
         rows = rest_wire.complete_rows(response.body)
@@ -76,7 +76,7 @@
         return QueryProgress(False, rows, load_report=report)
 
     def _read_page(self, response: HttpResponse) -> bytes:
-        if response.status != rest_wire.STATUS_OK:
+        if response.status != STATUS_OK:
             raise self.ended_error(Status.ERROR, f"page {self._page_number}: status {response.status}")
         rows = rest_wire.page_rows(response, self._page_number)
         self._check_length(response)
--- a/fordstair/net/engines/rest_wire.py
+++ b/fordstair/net/engines/rest_wire.py
@@ -12,8 +12,6 @@
 from fordstair.net.engines.page_length import SEPARATORS_PER_ROW
 
 QUERIES_PATH = "/o"
-STATUS_OK = 200
-STATUS_RUNNING = 202
 MAX_PAGES = 1_000
 
 _REQUEST_ID = "X-Txn"
