--- a/tests/test_page_length.py
+++ b/tests/test_page_length.py
@@ -9,13 +9,16 @@
 from typing import Any
 
 import pytest
+import trio
 import ujson
 from hypothesis import example, given
 from hypothesis import strategies as st
+from trio.testing import wait_all_tasks_blocked
 
 from fordstair.net.engines import http11_connection, odata_wire
 from fordstair.net.engines.errors import ProtocolError
-from fordstair.net.engines.http_messages import HttpResponse
+from fordstair.net.engines.http11_connection import HTTP11Connection
+from fordstair.net.engines.http_messages import HttpRequest, HttpResponse
 from fordstair.net.engines.page_length import PageLengthPolicy
 from tests.scenes import run_with_timeout
 from tests.standins import Response, RestEngine, Script, config, connect, engine, program, run_in_process
@@ -139,6 +142,22 @@
     run_with_timeout(scene)
 
 
+def test_a_line_of_surplus_that_comes_in_pieces_is_received_whole() -> None:
+    # Guards against the beginning of a row being compared as if it were all that follows a page.
+    async def scene() -> None:
+        ours, theirs = trio.socket.socketpair()
+        connection = HTTP11Connection(ours, trio.SocketStream(ours), "engine")
+        await theirs.send(HEAD % 0 + b"Content-Length: 0\r\n\r\na\tb")
+        await connection.exchange(HttpRequest("GET", "/o/1/0"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.receive_surplus_line)
+            await wait_all_tasks_blocked()
+            await theirs.send(b"\tc\nd")
+        assert connection.surplus == b"a\tb\tc\nd"
+
+    run_with_timeout(scene)
+
+
 columns = st.text(alphabet=st.characters(exclude_characters="\t\n", codec="utf-8"))
 
 
