Wait for the stored engine list in a test, in place of half a second

Cause: the test gives the first program 0.5 s to write its engine list, and then kills it. With each fsync made 0.95 s longer the test fails at the same line each time; the program is not at fault, it has not stored the list when it is killed.

Change: the test waits until the store, read from a copy, holds the engine's address. What it asserts is unchanged. It passes with fsync 0.95 s longer (16.9 s), and as it is (2.5 s).

--- a/tests/replication/test_processes.py
+++ b/tests/replication/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import socket
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -14,7 +15,10 @@
 from fordstair.lab.replication_faults import kill_members, partition_members
 from fordstair.lab.replication_trial import ReplicationTrial, running_trial, stored_entries
 from fordstair.replication.claim_coordinator import SETTLE_TIMEOUT_S
-from tests.scenes import run_with_timeout
+from fordstair.store.errors import StoreError
+from fordstair.store.record import Record
+from fordstair.store.record_file import RecordFile
+from tests.scenes import run_with_timeout, until
 from tests.standins import config, engine, program
 
 
@@ -34,6 +38,22 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+def store_mentions(path: Path, text: str) -> bool:
+    """Return whether a record of a store that a program has open holds the text, read from a copy."""
+    with tempfile.TemporaryDirectory() as folder:
+        for part in path.parent.glob(f"{path.name}*"):
+            shutil.copy(part, folder)
+        file = RecordFile(str(Path(folder) / path.name))
+        try:
+            file.open()
+            records = file.read(0.0)
+            return any(isinstance(each, Record) and text.encode() in (each.value or b"") for each in records)
+        except StoreError:  # The copy was made in the middle of a write.
+            return False
+        finally:
+            file.close()
+
+
 async def assert_history_is_valid(trial: ReplicationTrial, ids: list[str]) -> None:
     """Assert that the history has no violation, that a load has run, and that an outcome is replicated."""
     outcomes = await trial.settle_and_stop(ids)
@@ -280,8 +300,7 @@
                         while (await client.answer(await client.send_request()))[0] is not None:
                             await trio.sleep(0.1)
                     if configuration["known"]["cmds"][0]["nodes"]["servers"]:
-                        # Time to write the engine to disk.
-                        await trio.sleep(0.5)
+                        await until(lambda: store_mentions(folder / "store", fake_engine.address), 30.0)
                     node.process.kill()
             assert fake_engine.calls["POST"] >= 2
             assert any("engines.restored" in line for line in node.log)
