--- a/tests/test_page_length.py
+++ b/tests/test_page_length.py
@@ -53,6 +53,9 @@
     "no row, second copy": lambda page: told(page, 0, COPY),
     "last chunk too early": lambda page: chunked(page, b"", PAGES[page], b""),
     "chunk of size 0": lambda page: chunked(page, b"").replace(b"0\r\n", b"0\r\n%s\r\n0\r\n" % PAGES[page]),
+    "chunk of size 0, then nothing": lambda page: chunked(page, b"").replace(
+        b"0\r\n", b"0\r\n" + PAGES[page]
+    ),
 }
 # What follows a good page, and how often the page is then requested again.
 MORE = {
