--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -286,7 +286,7 @@
 class Engine:
     """An engine as the protocol page describes it. A statement's comment `/* work=MS */` says how long it runs.
 
-    `after_answer(writer, query, raw)` may be set to do something once a good end has been written.
+    `write_answer(writer, query, raw)` may be set to write good ends and pages in another way.
     """
 
     def __init__(self, name: str, record: Record, rows: int = 1) -> None:
@@ -296,9 +296,7 @@
         self.address = ""
         self.queries: dict[str, Query] = {}
         self.runs: list[Query] = []
-        self.after_answer: Callable[[asyncio.StreamWriter, Query, bytes], Awaitable[None] | None] | None = (
-            None
-        )
+        self.write_answer: Callable[[asyncio.StreamWriter, Query, bytes], Awaitable[None]] | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -326,20 +324,19 @@
                     for name, _, value in (line.partition(":") for line in lines[1:] if line)
                 }
                 body = await reader.readexactly(int(fields.get("content-length", "0")))
-                query, (status, headers, text) = await self._answer(method, path, fields, body)
+                query, (status, headers, text) = await self.answer(method, path, fields, body)
                 raw = encode_response(status, headers, text)
-                writer.write(raw)
+                if status == 200 and query is not None and self.write_answer is not None:
+                    await self.write_answer(writer, query, raw)
+                else:
+                    writer.write(raw)
                 await writer.drain()
-                if status == 200 and query is not None and self.after_answer is not None:
-                    result = self.after_answer(writer, query, raw)
-                    if result is not None:
-                        self.spawn(result)
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
         finally:
             writer.close()
 
-    async def _answer(
+    async def answer(
         self, method: str, path: str, fields: dict[str, str], body: bytes
     ) -> tuple[Query | None, Answer]:
         if method == "POST" and path == "/o":
@@ -506,6 +503,7 @@
             for task in others:
                 task.cancel()
             await asyncio.gather(*others, return_exceptions=True)
+            await asyncio.sleep(0.05)  # what has been closed is taken down by the event loop
         words = {HELD: "the rule held", BROKEN: "the rule was BROKEN", NOT_RUN: "the case did not run"}
         record.add("verdict:", words[verdict])
         print(words[verdict])
