Hold a page with trailers in doubt: rows behind an empty chunk are parsed as such

Cause: PageLengthPolicy was asked only where bytes had followed the response, and looked at trailers only before a last chunk.

Change: any trailers put a page in doubt, so that it is requested again; the protocol's pages have none. In a sequence of pages they end the sequence.

--- a/fordstair/net/engines/page_length.py
+++ b/fordstair/net/engines/page_length.py
@@ -30,7 +30,7 @@
 
 
 class PageLengthPolicy:
-    """Asked for each response with rows whether further rows of the page may have followed it.
+    """Asked for each response with rows that has trailers or surplus whether rows of the page are missing.
 
     Surplus bytes that cannot be rows or chunks, such as a second copy of the response, show that the page
     had ended. Any others leave that open: the page is to be requested again, and the engine repeats it
@@ -41,12 +41,16 @@
         self._doubted: _DoubtedPage | None = None
 
     def may_be_truncated(self, response: HttpResponse) -> bool:
-        """Return whether rows may be missing, given the surplus up to the end of its first line."""
+        """Return whether rows may be missing, given the surplus up to the end of its first line.
+
+        Rows behind a chunk of size 0 are parsed as trailers if they are valid fields; pages have no others.
+        """
+        if response.has_trailers:
+            return True
         line, line_feed, _ = response.surplus.partition(b"\n")
         next_line = line + line_feed
         if chunk := _CHUNK_HEADER.fullmatch(next_line):
-            # A last chunk adds no rows, but rows before it may have been parsed as trailers.
-            return response.has_trailers or bool(chunk[1].strip(b"0"))
+            return bool(chunk[1].strip(b"0"))  # a last chunk adds no rows
         if not _may_begin_row(next_line):
             return False
         previous = self._doubted
--- a/fordstair/net/engines/rest.py
+++ b/fordstair/net/engines/rest.py
@@ -124,7 +124,7 @@
         """GET a page; raise ExchangeError unless its response is sound and nothing has followed it yet."""
         path = rest_wire.page_path(self.attempt_request.query.transaction_id, number)
         response = await connection.exchange(HttpRequest("GET", path))
-        if response.status != STATUS_OK or connection.surplus:
+        if response.status != STATUS_OK or response.has_trailers or connection.surplus:
             raise ProtocolError("the page cannot be read in sequence")
         return rest_wire.page_rows(response, number)
 
@@ -137,6 +137,7 @@
 
     def _check_length(self, response: HttpResponse) -> None:
         """Raise ProtocolError if rows of the page may have followed the response."""
-        if response.surplus and self._length_policy.may_be_truncated(response):
+        doubtful = response.surplus or response.has_trailers
+        if doubtful and self._length_policy.may_be_truncated(response):
             self.pool.counters.add("engine.pages_in_doubt")
             raise ProtocolError("rows may be missing: the response was followed by what may be rows")
