Refuse heads of over 100 lines before they are parsed

Cause: a parsed field of four bytes takes some 200, a head of 16 KB 0.8 MB and 8 ms, and it is kept until its body has come.

Change: HeadLineCounter counts a head's lines as they arrive; above ODATA_MAX_HEAD_LINES the request is answered 431 and its connection ends.

--- a/fordstair/net/clients/client_limits.py
+++ b/fordstair/net/clients/client_limits.py
@@ -38,6 +38,8 @@
 # Limits the sending of one response.
 ODATA_WRITE_TIMEOUT_MS = 10_000.0
 ODATA_MAX_BODY_BYTES = 256 * 1024
+# Limits the lines of a request's head; parsed, a short field takes up to a hundred times its bytes.
+ODATA_MAX_HEAD_LINES = 100
 
 # Shedding of idle connections when a new client finds no capacity:
 # A connection without a valid message counts as new for this long after its last activity, then as silent.
--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -8,9 +8,11 @@
 from fordstair.net.clients.client_limits import (
     ODATA_IDLE_TIMEOUT_MS,
     ODATA_MAX_BODY_BYTES,
+    ODATA_MAX_HEAD_LINES,
     ODATA_REQUEST_TIMEOUT_MS,
     ODATA_WRITE_TIMEOUT_MS,
 )
+from fordstair.net.clients.head_lines import HeadLineCounter
 from fordstair.net.clients.odata_errors import ODataError
 from fordstair.net.clients.odata_messages import ODataRequest, Response, error_response
 from fordstair.net.clients.odata_router import ODataRouter
@@ -56,8 +58,7 @@
             self._coordinator.counters.add("odata.idle_timeout")
         except h11.RemoteProtocolError as error:
             if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                malformed = ODataError(error.error_status_hint, "BadRequest", str(error))
-                await self._send(error_response(malformed), close=True)
+                await self._refuse(ODataError(error.error_status_hint, "BadRequest", str(error)))
         return None
 
     async def _wait_for_request(self) -> bool:
@@ -70,20 +71,24 @@
         return not limit.cancelled_caught
 
     async def _read_request(self) -> ODataRequest | None:
-        """Read a whole request; return None if the connection ends first or the body is too large."""
+        """Read a whole request; return None if the connection ends first or the request is too large."""
         head: h11.Request | None = None
         body = bytearray()
+        head_lines = HeadLineCounter()
+        head_lines.add(bytes(self._http.trailing_data[0]))
         while True:
+            if head_lines.lines > ODATA_MAX_HEAD_LINES:
+                await self._refuse(ODataError(431, "TooLarge", "the head has too many fields"))
+                return None
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                await self._receive()
+                head_lines.add(await self._receive())
             elif isinstance(event, h11.Request):
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > ODATA_MAX_BODY_BYTES:
-                    too_large = ODataError(413, "TooLarge", "the body is too large")
-                    await self._send(error_response(too_large), close=True)
+                    await self._refuse(ODataError(413, "TooLarge", "the body is too large"))
                     return None
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 self._has_requested = True
@@ -91,11 +96,18 @@
             else:
                 return None
 
-    async def _receive(self) -> None:
+    async def _refuse(self, error: ODataError) -> None:
+        """Answer a request that is not read to its end; the connection ends after that."""
+        await self._send(error_response(error), close=True)
+
+    async def _receive(self) -> bytes:
+        """Read the next input, hand it to h11 and return it."""
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._http.send(interim) or b"")
-        self._http.receive_data(await self._read())
+        data = await self._read()
+        self._http.receive_data(data)
+        return data
 
     async def _read(self) -> bytes:
         """Read the next input; the stream records its read delay."""
