Search a statement for its tables in linear time, and only once its request is let in

Cause: each request was searched as it was read, 2 microseconds a byte, before it could be refused and though its client might have left; unclosed dollar tags took time with the square of the length.

Change: the search stops at the first table, pairs dollar tags by an index and looks at 5,000 tokens at most; LiveRequest makes it when the request goes to the decision module.

--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -168,7 +168,7 @@
             query.tenant_index,
             query.cost_ms,
             query.memory_mb,
-            query.table_group,
+            live.table_group,
         )
 
     def update_engines(self, kind: ListUpdateKind, engines: Iterable[Engine]) -> None:
--- a/fordstair/core/live_request.py
+++ b/fordstair/core/live_request.py
@@ -8,6 +8,7 @@
 
 from fordstair.core.ports import Call, Query, Reply
 from fordstair.core.send_guard import SendGuard
+from fordstair.core.statements import table_group
 from fordstair.decisions.actions import SendAttempt
 from fordstair.decisions.events import Status
 
@@ -47,6 +48,16 @@
     wakeup: trio.Event = field(default_factory=trio.Event)
     call: Call | None = None
     attempt_scope: trio.CancelScope | None = None
+    _table_group: float | None = None
+
+    @property
+    def table_group(self) -> float:
+        """The number of the group of tables that its statement uses; the statement is searched once."""
+        if self._table_group is None:
+            given = self.query.table_group
+            text = self.query.statement.decode("utf-8", "replace")
+            self._table_group = table_group(text) if given is None else given
+        return self._table_group
 
     async def next_send(self) -> SendAttempt | None:
         """Wait for the decision module's next send; return None once the request is finished."""
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -18,7 +18,8 @@
     Attributes:
         class_name: name of the request class.
         timeout_ms: how long the client waits, counted from its send.
-        table_group: number of the group of tables that the statement uses; 0 for none.
+        table_group: number of the group of tables that the statement uses, 0 for none; None if the statement
+            has not been searched for it.
         cost_ms: estimated thread-milliseconds; 0 for no estimate.
         memory_mb: estimated memory; 0 for no estimate.
         read_delay_ms: the part of ``timeout_ms`` that had passed when the request was read.
@@ -33,7 +34,7 @@
     tenant_index: int
     timeout_ms: float
     statement: bytes
-    table_group: float = 0.0
+    table_group: float | None = None
     cost_ms: float = 0.0
     memory_mb: float = 0.0
     read_delay_ms: float = 0.0
--- a/fordstair/core/preemption_control.py
+++ b/fordstair/core/preemption_control.py
@@ -44,7 +44,7 @@
         for live in waiting:
             team = live.query.tenant_index
             waiting_teams.add(team)
-            waiting_teams_by_group.setdefault(live.query.table_group, set()).add(team)
+            waiting_teams_by_group.setdefault(live.table_group, set()).add(team)
         accounts = self._scheduler.quotas.accounts
         within_quota = {team for team in accounts if self._scheduler.quotas.is_within_quota(team)}
         queries = [self._running_query(live, now) for live in running.values()]
@@ -62,7 +62,7 @@
         return RunningQuery(
             live.id,
             query.tenant_index,
-            query.table_group,
+            live.table_group,
             coordinator.settings.classes[query.class_index].is_load,
             left_ms,
             engine is not None and engine.protocol != "odata",
--- a/fordstair/core/statements.py
+++ b/fordstair/core/statements.py
@@ -1,14 +1,19 @@
-"""Finds the group of tables that a statement uses."""
+"""Finds the group of tables that a statement uses, in time proportional to the statement's length."""
 
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-_STRING_OR_COMMENT = r"'(?:[^']|'')*(?:'|\Z)|--[^\n]*|\$(?P<tag>\w*)\$.*?\$(?P=tag)\$"
+MAX_SCANNED_TOKENS = 5_000  # strings and comments included; what follows them is ignored
+
+_STRING_OR_COMMENT = r"'[^']*(?:''[^']*)*(?:'|\Z)|--[^\n]*"
 _NAME = r'(?:"(?P<quoted>[^"]+)"|(?P<plain>[A-Za-z_]\w*))'
-_TOKEN = re.compile(rf"{_STRING_OR_COMMENT}|/\*|{_NAME}|(?P<mark>[.,()])|\d[\w.]*|\S", re.S)
+_DOLLAR_TAG = r"(?P<dollar>\$\w*\$)"
+_TOKEN = re.compile(rf"{_STRING_OR_COMMENT}|{_DOLLAR_TAG}|/\*|{_NAME}|(?P<mark>[.,()])|\d[\w.]*|\S", re.S)
+_DOLLAR_TAG_START = re.compile(r"\$(?=(\w*\$))")
 _COMMENT_DELIMITER = re.compile(r"/\*|\*/")
 _NUMBERED_SCHEMA = re.compile(r".*_(\d{1,9})$", re.S)
 # Keywords that a table's name follows; elsewhere a dotted name may start with an alias such as t_1.
@@ -95,24 +100,49 @@
         self._name_parts = [token.text]
 
 
-def _tokens(statement: str) -> list[_Token]:
-    """Return the names and punctuation marks in order, without strings and comments."""
-    tokens: list[_Token] = []
+class _DollarTags:
+    """The places of a statement's dollar tags, by tag; they are searched for once."""
+
+    def __init__(self, statement: str) -> None:
+        self._starts: dict[str, list[int]] = {}
+        for match in _DOLLAR_TAG_START.finditer(statement):
+            self._starts.setdefault("$" + match[1], []).append(match.start())
+
+    def closing_end(self, tag: str, position: int) -> int | None:
+        """Return the end of the first such tag at or after a position; None if there is none."""
+        starts = self._starts[tag]
+        index = bisect_left(starts, position)
+        return starts[index] + len(tag) if index < len(starts) else None
+
+
+def _tokens(statement: str) -> Iterator[_Token]:
+    """Yield the names and punctuation marks in order, without strings and comments."""
+    dollar_tags: _DollarTags | None = None
     position = 0
-    while (match := _TOKEN.search(statement, position)) is not None:
+    for _ in range(MAX_SCANNED_TOKENS):
+        match = _TOKEN.search(statement, position)
+        if match is None:
+            break
         position = match.end()
         if match[0] == "/*":
             position = _comment_end(statement, position)
+        elif match["dollar"] is not None:
+            dollar_tags = dollar_tags or _DollarTags(statement)
+            closing_end = dollar_tags.closing_end(match[0], position)
+            if closing_end is None:  # no string begins here
+                position = match.start() + 1
+                yield _Token("$", is_name=False)
+            else:
+                position = closing_end
         elif match["quoted"] is not None or match["plain"] is not None:
-            tokens.append(_Token(match["quoted"] or match["plain"], is_name=True))
+            yield _Token(match["quoted"] or match["plain"], is_name=True)
         elif match["mark"] is not None or not _is_string_or_comment(match[0]):
-            tokens.append(_Token(match[0], is_name=False))
-    tokens.append(_Token(";", is_name=False))
-    return tokens
+            yield _Token(match[0], is_name=False)
+    yield _Token(";", is_name=False)
 
 
 def _is_string_or_comment(text: str) -> bool:
-    return (text[0] in "'$" and len(text) > 1) or text.startswith("--")
+    return (text[0] == "'" and len(text) > 1) or text.startswith("--")
 
 
 def _comment_end(statement: str, position: int) -> int:
--- a/fordstair/net/clients/odata_statements.py
+++ b/fordstair/net/clients/odata_statements.py
@@ -13,7 +13,6 @@
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.live_request import LiveRequest
 from fordstair.core.ports import Query
-from fordstair.core.statements import table_group
 from fordstair.decisions.settings import Idempotency, RequestClass
 from fordstair.net.clients.odata_errors import ClientDisconnectedError, ODataError
 from fordstair.net.clients.odata_model import EntitySet
@@ -156,7 +155,7 @@
             coordinator.tenants[statement.team],
             self._timeout_ms(statement, spec.client_timeout_ms),
             statement.text.encode(),
-            table_group(statement.text),
+            None,
             statement.entity_set.cost_ms,
             statement.entity_set.memory_mb,
             self._elapsed_wait_ms(),
--- a/fordstair/net/clients/rpc_query.py
+++ b/fordstair/net/clients/rpc_query.py
@@ -7,7 +7,6 @@
 
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.ports import Query
-from fordstair.core.statements import table_group
 from fordstair.decisions.settings import Idempotency
 
 _TRANSACTION_ID = b"txn"
@@ -58,7 +57,7 @@
         tenant,
         _number(fields, _TIME_LIMIT_MS),
         statement,
-        table_group(statement.decode("utf-8", "replace")),
+        None,
         _number(fields, _COST_MS, 0.0),
         _number(fields, _MEMORY_MB, 0.0),
         read_delay_ms,
--- /dev/null
+++ b/tests/test_client_overload.py
@@ -0,0 +1,99 @@
+"""Clients that send much at once: others are served, and nothing is sent on once the sender has left."""
+
+from __future__ import annotations
+
+import time
+
+import msgpack
+import pytest
+import trio
+
+from fordstair.core import live_request
+from fordstair.core.arrival_pacer import ARRIVALS_PER_TURN
+from fordstair.core.statements import table_group
+from tests.scenes import ROWS, run_with_timeout, until
+from tests.standins import config, connect, engine, program, run_in_process
+
+FIELDS = {"limit": "3000", "team": "karri-energy", "cpu": "200.0", "need_mb": "96"}
+LONG_STATEMENT = b"SELECT a FROM orders WHERE id IN (" + b"7, " * 19_000 + b"7)"
+MAX_GROWTH_OF_TIME = 8.0  # at four times the length; in proportion it would be 4, with its square 16
+
+
+def requests(prefix: int, statement: bytes, count: int = 32) -> bytes:
+    """Return as many requests as may be open on one connection."""
+    return b"".join(
+        msgpack.packb([0, n, "lookup", [FIELDS | {"txn": f"{prefix:08x}{n:08x}"}, statement]])
+        for n in range(1, count + 1)
+    )
+
+
+def scan_seconds(statement: str) -> float:
+    """Return the least processor time of three scans."""
+    times = []
+    for _ in range(3):
+        began = time.process_time()
+        table_group(statement)
+        times.append(time.process_time() - began)
+    return min(times)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["$%d", "$$", "$a$", "'", "'$%d", "/*", '"', "--", "a_1.", "a,", "from ", "$a_%d.b$"],
+)
+def test_the_time_of_a_statement_scan_grows_with_its_length_alone(text: str) -> None:
+    # Guards against a statement that stops the program: time grew with the square of unclosed dollar tags.
+    def repeat(count: int) -> str:
+        return "".join(text % (10_000 + n) if "%" in text else text for n in range(count))
+
+    short = max(scan_seconds(repeat(4_000)), 0.001)
+    assert scan_seconds(repeat(16_000)) < MAX_GROWTH_OF_TIME * short
+
+
+def test_lookups_are_answered_beside_clients_that_send_long_requests_at_once() -> None:
+    # Guards against others' answers lost while the statements of a few clients are scanned.
+    async def scene() -> None:
+        async with (
+            engine() as rest_engine,
+            program(config(rest_engine.address)) as node,
+            trio.open_nursery() as nursery,
+        ):
+            client = await node.client()
+            assert await client.answer(await client.send_request()) == (None, ROWS)
+            for prefix in range(1, 17):
+                stream = await trio.open_tcp_stream("127.0.0.1", node.ports["listens"])
+                nursery.start_soon(stream.send_all, requests(prefix, LONG_STATEMENT, 8))
+            await trio.sleep(0.1)
+            number = await client.send_request(txn="a" * 16)
+            error, _ = await client.answer(
+                number, within_s=3.0
+            )  # what is over the team's quota may be refused
+            assert error is None or error[0] == "Overloaded"
+            nursery.cancel_scope.cancel()
+
+    run_with_timeout(scene)
+
+
+def test_the_statement_of_a_client_that_has_left_is_not_scanned(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against work for requests that nobody waits for, at the cost of others.
+    scanned = list[str]()
+
+    def scan(text: str) -> float:
+        scanned.append(text)
+        return 0.0
+
+    monkeypatch.setattr(live_request, "table_group", scan)
+
+    async def scene() -> None:
+        async with engine() as rest_engine, run_in_process(config(rest_engine.address)) as node:
+            client = await connect(node)
+            cancels = b"".join(msgpack.packb([2, "cancelRequest", [n]]) for n in range(1, 33))
+            await client.stream.send_all(requests(1, b"SELECT 1") + cancels)
+            await until(lambda: node.counters["client.disconnected"] == 32)
+            assert len(scanned) <= ARRIVALS_PER_TURN  # these were admitted as they were read
+            scanned.clear()
+            client.last_id = 32
+            assert await client.answer(await client.send_request()) == (None, ROWS)
+            assert len(scanned) == 1
+
+    run_with_timeout(scene)
