Begin no attempt while input of its client is unread

Cause: RpcConnection.drain_input waited until the input had been read twice. Of a client that has closed, more comes each time the system's buffer is emptied, and the end comes last.

Change: the wait goes on while there is unread input. A sound client has at most 32 requests open, so its input ends; the request's deadline bounds the wait.

--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -63,9 +63,6 @@
         self._last_request_id = -1
         self._writer = ResponseWriter(stream, self.deadlines, client_limits.RPC_WRITE_TIMEOUT_MS)
         self._read_delay = ReadDelay(stream, poll_watch or PollWatch(), self.deadlines, accept_delay_ms)
-        # How often all available input had been read and handled:
-        self._drain_count = 0
-        self._last_read_drained = False
         # Whether input may have been read that is not handled yet:
         self._handling = False
         # Cancelling this scope ends the current wait for input; None while there is no wait.
@@ -120,15 +117,13 @@
         self._writer.wake()
 
     async def drain_input(self) -> None:
-        """Wait until all input that has arrived by now is handled; a cancellation or its end may be in it.
+        """Wait until all input is handled; a cancellation or its end may be in it.
 
-        While the client does not read its responses, the connection is not read either: the wait goes on, and
-        so no attempt begins for that client.
+        More of it may still be on its way here after the client has closed, so the wait goes on while there
+        is any. No attempt begins meanwhile, nor while the client does not read its responses, since the
+        connection is not read then either.
         """
-        # The input that is being handled may have been read before the rest arrived; the second drain from
-        # now certainly includes all of it.
-        target_count = self._drain_count + 2
-        while (self._handling or self.has_unread_input) and self._drain_count < target_count:
+        while self._handling or self.has_unread_input:
             await self.deadlines.sleep(DRAIN_CHECK_MS)
 
     def abort(self) -> None:
@@ -189,8 +184,6 @@
         input may have been read without being handled: the reading task does both. Input that arrives later
         has crossed the half-close, and its client sends it again.
         """
-        self._drain_count += self._last_read_drained
-        self._last_read_drained = False
         while not self._timed_out:
             while self._writer.unsent_bytes > client_limits.RPC_MAX_UNSENT_BYTES:
                 await self.deadlines.sleep(client_limits.RPC_UNSENT_CHECK_MS)
@@ -217,7 +210,7 @@
             self._wait_scope = None
             self._handling = True
         self._last_read_ms = self._read_delay.last_read_ms
-        self._last_read_drained = self._read_delay.note_read(len(chunk))
+        self._read_delay.note_read(len(chunk))
         return chunk
 
     async def _read(self) -> None:
--- a/tests/test_client_overload.py
+++ b/tests/test_client_overload.py
@@ -11,8 +11,9 @@
 from fordstair.core import live_request
 from fordstair.core.arrival_pacer import ARRIVALS_PER_TURN
 from fordstair.core.statements import table_group
+from fordstair.net.clients.rpc_connection import RpcConnection
 from tests.scenes import ROWS, run_with_timeout, until
-from tests.standins import config, connect, engine, program, run_in_process
+from tests.standins import config, connect, engine, never_finish, program, run_in_process
 
 FIELDS = {"limit": "3000", "team": "karri-energy", "cpu": "200.0", "need_mb": "96"}
 LONG_STATEMENT = b"SELECT a FROM orders WHERE id IN (" + b"7, " * 19_000 + b"7)"
@@ -74,6 +75,26 @@
     run_with_timeout(scene)
 
 
+def test_no_attempt_begins_while_input_of_its_client_is_unread(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against requests sent on after their client has closed behind much that was still on its way.
+    async def scene() -> None:
+        async with engine(never_finish) as rest_engine, run_in_process(config(rest_engine.address)) as node:
+            client = await connect(node)
+            monkeypatch.setattr(RpcConnection, "has_unread_input", True)
+            await client.send_request(limit="20000")
+            await until(lambda: rest_engine.calls["connections"])
+            for _ in range(4):  # all input is read and handled each time, and more is on its way
+                number = client.last_id = client.last_id + 1
+                await trio.sleep(0.05)
+                await client.send([0, number, "alive", [{}]])
+                assert await client.answer(number)
+            await client.stream.send_eof()
+            await until(lambda: not node.coordinator.live)
+            assert not rest_engine.posts
+
+    run_with_timeout(scene)
+
+
 def test_the_statement_of_a_client_that_has_left_is_not_scanned(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against work for requests that nobody waits for, at the cost of others.
     scanned = list[str]()
