Answer a load whose id may have run with an error instead of running it again

Cause: the send guard lives as long as its request, and ids were compared with those of requests in progress alone.

A load that certainly did not run may come again.

--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -123,6 +123,10 @@
         """Return whether a request with this transaction id is in progress."""
         return self.requests.is_in_progress(transaction_id)
 
+    def is_past_load(self, transaction_id: str) -> bool:
+        """Return whether a load with this transaction id has ended and may have run."""
+        return self.requests.is_past_load(transaction_id)
+
     def submit(self, query: Query, reply: Reply) -> LiveRequest:
         """Accept a request; its reply gets exactly one final answer, unless the client disconnects."""
         assert self._nursery is not None, "the coordinator is not running"
--- a/fordstair/core/request_table.py
+++ b/fordstair/core/request_table.py
@@ -9,6 +9,7 @@
 
 from fordstair.core.invariants import Invariant, Invariants
 from fordstair.core.live_request import LiveRequest
+from fordstair.core.load_history import LoadHistory
 from fordstair.core.ports import Query, Reply
 from fordstair.core.send_guard import SendGuard
 from fordstair.decisions.settings import RequestClass
@@ -39,6 +40,7 @@
         self._counters = counters
         self._invariants = invariants
         self._transaction_ids: set[str] = set()
+        self._past_loads = LoadHistory()
         self._last_id = 0
 
     def add(self, query: Query, reply: Reply, spec: RequestClass, now_ms: float) -> LiveRequest:
@@ -66,8 +68,10 @@
         return live
 
     def remove(self, live: LiveRequest) -> None:
-        """Remove a request whose task has ended."""
+        """Remove a request whose task has ended; remember a load that may have run."""
         self.live.pop(live.id, None)
+        if live.send_guard.forbids_repeat:
+            self._past_loads.add(live.query.transaction_id)
         self._transaction_ids.discard(live.query.transaction_id.lower())
 
     def get(self, request_id: int) -> LiveRequest | None:
@@ -78,6 +82,10 @@
         """Return whether a request with this transaction id is in progress."""
         return transaction_id.lower() in self._transaction_ids
 
+    def is_past_load(self, transaction_id: str) -> bool:
+        """Return whether a load with this transaction id has ended and may have run."""
+        return transaction_id in self._past_loads
+
     def unanswered(self) -> Iterator[LiveRequest]:
         """Yield the requests that still wait for their answer, oldest first."""
         return (live for live in self.live.values() if not live.finished)
--- a/fordstair/core/send_guard.py
+++ b/fordstair/core/send_guard.py
@@ -69,6 +69,12 @@
             return Denial.MAY_HAVE_RUN
         return Denial.WINDOW_OVER if now_ms > self.first_sent_ms + self.deduplication_window_ms else None
 
+    @property
+    def forbids_repeat(self) -> bool:
+        """Whether no client may send the request again: it is a load that may have run, or may run yet."""
+        may_have_run = self.may_have_run or self.in_flight
+        return may_have_run and self.idempotency is Idempotency.NON_IDEMPOTENT
+
     def begin(self, now_ms: float) -> None:
         """Record that the first byte of an attempt is being sent now."""
         self.in_flight = True
--- a/fordstair/net/clients/rpc_query.py
+++ b/fordstair/net/clients/rpc_query.py
@@ -74,6 +74,8 @@
     # An engine could not tell two queries with the same id apart.
     if coordinator.is_in_progress(transaction_id):
         raise InvalidRequestError("a request with this txn is open")
+    if coordinator.is_past_load(transaction_id):
+        raise InvalidRequestError("a load with this txn may have run")
     return transaction_id
 
 
--- a/tests/test_client_departures.py
+++ b/tests/test_client_departures.py
@@ -13,6 +13,7 @@
 
 from fordstair.configuration.platform import parse
 from fordstair.core.coordinator import Coordinator
+from fordstair.core.load_history import MAX_REMEMBERED_LOADS, LoadHistory
 from fordstair.core.ports import Engine, Query
 from fordstair.decisions.engine_list import EngineEntry, ListUpdateKind
 from fordstair.net.clients.odata_statements import PendingReply
@@ -29,6 +30,7 @@
     never_finish,
     program,
     run_in_process,
+    serve_at_once,
 )
 
 
@@ -239,3 +241,49 @@
             assert len(rest_engine.posts) == 1
 
     run_with_timeout(scene)
+
+
+@pytest.mark.parametrize("leave", [None, *WAYS_TO_LEAVE])
+def test_a_load_that_may_have_run_does_not_run_again_under_its_id(leave: Leave | None) -> None:
+    # Guards against a load that runs twice because its id comes again later, with or without an answer.
+    async def scene() -> None:
+        script = serve_at_once if leave is None else never_finish
+        async with engine(script) as rest_engine, run_in_process(config(rest_engine.address)) as node:
+            client = await connect(node)
+            number = await client.send_request("meter-load", limit="20000", txn="a" * 16)
+            if leave is None:
+                assert await client.answer(number) == (None, ROWS)
+            else:
+                await until(lambda: rest_engine.posts)
+                await leave(client, number)
+            await until(lambda: not node.coordinator.live)
+            rest_engine.script = serve_at_once
+            other = await connect(node)
+            error, _ = await other.answer(await other.send_request("meter-load", txn="A" * 16))
+            assert error[0] != "Overloaded"  # which would say that a repeat is harmless
+            assert await other.answer(await other.send_request("meter-load", txn="b" * 16)) == (None, ROWS)
+            assert len(rest_engine.posts) == 2
+
+    run_with_timeout(scene)
+
+
+def test_a_load_that_has_not_run_may_come_again_under_its_id() -> None:
+    async def scene() -> None:
+        async with engine() as rest_engine, run_in_process(config()) as node:
+            client = await connect(node)
+            error, _ = await client.answer(await client.send_request("meter-load", txn="a" * 16))
+            assert error[0] == "Overloaded"  # there is no engine
+            node.coordinator.update_engines(
+                ListUpdateKind.FULL, [Engine(EngineEntry("s-1"), rest_engine.address)]
+            )
+            assert await client.answer(await client.send_request("meter-load", txn="a" * 16)) == (None, ROWS)
+
+    run_with_timeout(scene)
+
+
+def test_the_ids_of_past_loads_are_bounded() -> None:
+    history = LoadHistory()
+    for number in range(MAX_REMEMBERED_LOADS + 1):
+        history.add(f"{number:016x}")
+    assert f"{0:016x}" not in history
+    assert f"{MAX_REMEMBERED_LOADS:016X}" in history
