--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -224,7 +224,7 @@
             except MalformedMessageError as error:
                 self._reject_malformed(buffer.unhandled, str(error))
                 return
-            self._update_message_timeout(handled=handled > 0, in_message=len(buffer.unhandled) > 0)
+            self._update_message_timeout(handled=handled > 0, in_message=buffer.has_unhandled)
             buffer.discard_handled()
             if self._consecutive_invalid:
                 await self._yield_to_others()
