Keep what an OData connection reads ahead, and notice that its client has closed

Cause: input read during an answer that would have made h11 hold more than 256 KB was dropped, and nothing was read after it; the end of the connection was not seen either.

Change: that input is kept and handed on after the answer. Meanwhile POLLRDHUP, asked every 50 ms, tells that the client has closed, also behind unread data.

--- a/fordstair/net/clients/client_limits.py
+++ b/fordstair/net/clients/client_limits.py
@@ -38,6 +38,8 @@
 # Limits the sending of one response.
 ODATA_WRITE_TIMEOUT_MS = 10_000.0
 ODATA_MAX_BODY_BYTES = 256 * 1024
+# The interval at which a connection that is not read checks whether its client has left.
+ODATA_CLOSE_CHECK_MS = 50.0
 # Limits the lines of a request's head; parsed, a short field takes up to a hundred times its bytes.
 ODATA_MAX_HEAD_LINES = 100
 
--- a/fordstair/net/clients/odata_connection.py
+++ b/fordstair/net/clients/odata_connection.py
@@ -6,6 +6,7 @@
 import trio
 
 from fordstair.net.clients.client_limits import (
+    ODATA_CLOSE_CHECK_MS,
     ODATA_IDLE_TIMEOUT_MS,
     ODATA_MAX_BODY_BYTES,
     ODATA_MAX_HEAD_LINES,
@@ -33,6 +34,7 @@
         self._http = h11.Connection(h11.SERVER)
         self._read_delay = read_delay
         self._has_requested = False
+        self._read_ahead = b""  # input that was read during an answer and exceeds what h11 may hold
         self._statements = StatementRunner(services.coordinator)
         self._router = ODataRouter(services, stream, self._statements)
 
@@ -110,7 +112,11 @@
         return data
 
     async def _read(self) -> bytes:
-        """Read the next input; the stream records its read delay."""
+        """Return the input that was read ahead, or read the next; the stream records its read delay."""
+        if self._read_ahead:
+            data = self._read_ahead
+            self._read_ahead = b""
+            return data
         return bytes(await self._stream.receive_some(READ_BYTES))
 
     async def _answer(self, request: ODataRequest) -> None:
@@ -134,9 +140,17 @@
                 self._statements.disconnect()
                 return
             if len(self._http.trailing_data[0]) + len(data) > ODATA_MAX_BODY_BYTES:
-                await trio.sleep_forever()  # the rest is read after this request has been answered
+                self._read_ahead = data
+                await self._wait_for_close()
+                self._statements.disconnect()
+                return
             self._http.receive_data(data)
 
+    async def _wait_for_close(self) -> None:
+        """Wait until the client has closed, without reading: the rest is read after this request."""
+        while not self._read_delay.peer_has_closed:
+            await self._deadlines.sleep(ODATA_CLOSE_CHECK_MS)
+
     async def _send(self, response: Response, *, close: bool = False) -> None:
         """Send a response; raise trio.BrokenResourceError if the client does not read it in time."""
         encoded = self._encode(response, close=close or self._coordinator.draining)
--- a/fordstair/net/clients/read_delay.py
+++ b/fordstair/net/clients/read_delay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import select
 import sys
 import termios
 
@@ -36,6 +37,15 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def peer_has_closed(stream: trio.abc.Stream) -> bool:
+    """Return whether the end of the peer's data, or a reset, has arrived, also behind data that is unread."""
+    if not isinstance(stream, trio.SocketStream) or stream.socket.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(stream.socket, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class ReadDelay:
     """Estimates an upper bound on the delay between the arrival of input on one connection and its read.
 
@@ -62,6 +72,11 @@
         self.last_delay_ms = 0.0
         self.last_read_ms = self._last_drained_ms
 
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the end of the connection's input has arrived, though it may not be read yet."""
+        return peer_has_closed(self._stream)
+
     def begin_wait(self) -> None:
         """Record that the connection is about to wait for input."""
         gap_ms = self._deadlines.clock() - self._unwatched_since_ms
