Load no TLS and no second JSON parser on the platform, which uses neither

Callers saw a process killed for its memory with idle clients alone: told 32 MB, it started at 29.9.

Cause: trio imports ssl, hmac and hashlib, which load OpenSSL; error_mapping, connector and coordinator_program named ssl as well; ujson loads a C++ library and decimal for one read of RELAY_CONFIG.

--- a/fordstair/configuration/platform.py
+++ b/fordstair/configuration/platform.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import os
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import ujson
-
 from fordstair.configuration.errors import ConfigError, SettingsDocumentError
 from fordstair.configuration.settings_document import parse_settings
 from fordstair.decisions.settings import Settings
@@ -82,7 +81,7 @@
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
     try:
-        document = ujson.loads(Path(path).read_text())
+        document = json.loads(Path(path).read_text())
     except (OSError, ValueError) as error:
         raise ConfigError(f"RELAY_CONFIG: {path}: {error}") from None
     if not isinstance(document, dict):
--- a/fordstair/net/engines/connector.py
+++ b/fordstair/net/engines/connector.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import socket
-import ssl
 from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeAlias
 
 import trio
 
@@ -15,8 +15,11 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 
-TlsContextOf = Callable[[str], ssl.SSLContext | None]
-CheckPeer = Callable[[str, trio.SSLStream[trio.SocketStream]], None]
+if TYPE_CHECKING:
+    import ssl
+
+TlsContextOf: TypeAlias = "Callable[[str], ssl.SSLContext | None]"
+CheckPeer: TypeAlias = Callable[[str, trio.SSLStream[trio.SocketStream]], None]
 
 
 class Connector:
@@ -45,7 +48,7 @@
         while True:
             try:
                 return await self._connect_once(endpoint, until_ms, timeout_ms)
-            except (trio.BrokenResourceError, ssl.SSLError) as error:
+            except trio.BrokenResourceError as error:
                 raise map_connect_error(endpoint.address, error) from error
             except OSError as error:
                 delay_ms = retries.retry_delay_ms(error, self._deadlines.clock())
@@ -83,7 +86,12 @@
         context = self._tls_context_of(address)
         if context is None:
             return plain
+        from ssl import SSLError  # saves memory where no address requires TLS
+
         secured = trio.SSLStream(plain, context, https_compatible=True)
         await secured.do_handshake()
-        self._check_peer(address, secured)
+        try:
+            self._check_peer(address, secured)
+        except SSLError as error:
+            raise trio.BrokenResourceError(str(error)) from error
         return secured
--- a/fordstair/net/engines/error_mapping.py
+++ b/fordstair/net/engines/error_mapping.py
@@ -1,9 +1,7 @@
-"""Maps errors of sockets, TLS and h11 to those of the engine transport, where they are first caught."""
+"""Maps errors of sockets and h11 to those of the engine transport, where they are first caught."""
 
 from __future__ import annotations
 
-import ssl
-
 import h11
 import trio
 
@@ -17,7 +15,7 @@
 )
 from fordstair.net.system_errors import ErrorScope, error_scope, is_connection_refused
 
-LOST_CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError)
+LOST_CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 PROTOCOL_ERRORS = (h11.ProtocolError, ValueError)
 EXCHANGE_ERRORS = (*LOST_CONNECTION_ERRORS, *PROTOCOL_ERRORS)
 
@@ -31,7 +29,7 @@
 def map_connect_error(address: str, error: Exception) -> ConnectError:
     """Return the error to raise for a connect or TLS handshake that failed for good."""
     text = f"{address}: {error}"
-    if isinstance(error, trio.BrokenResourceError | ssl.SSLError) or not isinstance(error, OSError):
+    if isinstance(error, trio.BrokenResourceError) or not isinstance(error, OSError):
         return ConnectError(text)
     if is_connection_refused(error):
         return ConnectRefusedError(text)
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import ssl
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -45,6 +44,8 @@
 from fordstair.runtime.event_log import EventLog
 
 if TYPE_CHECKING:
+    import ssl
+
     from fordstair.configuration.operator_options import OperatorOptions
     from fordstair.net.clients.odata_front import ODataFront
     from fordstair.replication.service import ReplicationService
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from fordstair.lab.pressure.kinds import ClientKind
 from fordstair.lab.pressure.trial import Trial, TrialReport, run_trial
-from tests.scenes import run_with_timeout
+from tests.scenes import ROWS, run_with_timeout
+from tests.standins import config, engine, program
 
 LEAST_MEMORY_MB = 32  # the least that the platform tells
 CLIENTS = 390
 SECONDS = 5.0
+UNUSED_LIBRARIES = ("_ssl", "_hashlib", "libcrypto", "ujson", "msgspec")
 
 
 @pytest.mark.parametrize("kind", ClientKind)
@@ -21,3 +25,15 @@
         assert report.passed, str(report)
 
     run_with_timeout(scene)
+
+
+def test_the_platform_loads_no_library_that_it_does_not_use() -> None:
+    # Guards against a process that has used up the least memory told before its first client comes.
+    async def scene() -> None:
+        async with engine() as rest_engine, program(config(rest_engine.address)) as node:
+            client = await node.client()
+            assert await client.answer(await client.send_request()) == (None, ROWS)
+            loaded = Path(f"/proc/{node.process.pid}/maps").read_text()
+            assert not [name for name in UNUSED_LIBRARIES if name in loaded]
+
+    run_with_timeout(scene)
