Bound the memory of all client connections together by the told limit

Cause: connections were bounded by sockets alone. Change: MemoryBudget, the one owner of what peers make the process hold: each use reserves before it holds, has a guaranteed share, and shares the rest. MemoryWatch measures the process without clients and compares the budget with its real size ten times a second; what is not explained is taken off the room. Without room a connection that never asked is shed, one in use last (only where memory is short: for sockets the order stays). A limit that the program alone exceeds ends the start with one line; a tight one is named in the log. SIGUSR1 prints the figures as memory.*.

--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -39,6 +39,7 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.event_log import EventLog
+from fordstair.runtime.memory_budget import MemoryBudget
 
 log = EventLog(__name__)
 
@@ -51,6 +52,7 @@
     """Feeds events to the decision module and dispatches its actions.
 
     Attributes:
+        memory: the memory budget; without one that is given, it has no limit.
         withdrawing: True once ``withdraw_all`` has been called; requests that still arrive get a final answer
             from the decision module, and no attempt is sent for them.
         on_change: called after each event.
@@ -63,10 +65,12 @@
         transports: Mapping[str, Transport],
         deadlines: Deadlines,
         counters: Counters,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.settings = settings
         self.deadlines = deadlines
         self.counters = counters
+        self.memory = memory or MemoryBudget()
         self.invariants = Invariants(counters)
         self.gateway = Gateway(settings, seed)
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
--- a/fordstair/lab/pressure/crowd.py
+++ b/fordstair/lab/pressure/crowd.py
@@ -14,6 +14,7 @@
 import trio
 
 from fordstair.lab.pressure.kinds import ClientKind, odata_pieces, rpc_pieces
+from fordstair.net.clients.read_delay import peer_has_closed
 
 RPC = "listens"
 HOST = "127.0.0.1"
@@ -48,13 +49,16 @@
         self._statement_bytes = statement_bytes
         self._txns = count(1 + number * TXNS_PER_CLIENT)
         self._random = Random(number)
+        self._ended = 0  # connections that were refused or reset
 
     async def run(self) -> None:
         """Connect again whenever the connection has ended, until cancelled."""
         await trio.sleep(self._random.uniform(0.0, CONNECT_WITHIN_S))
         while True:
-            with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            try:
                 await self._connect_once()
+            except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                self._ended += 1
             await trio.sleep(self._random.uniform(*RECONNECT_DELAY_S))
 
     async def _connect_once(self) -> None:
@@ -81,12 +85,9 @@
                 await trio.sleep(piece.pause_s)
 
     async def _wait_for_end(self, stream: trio.SocketStream) -> None:
-        """Wait until the connection is reset, without reading from it."""
-        while True:
+        """Wait until the coordinator has closed the connection, without reading from it."""
+        while not peer_has_closed(stream):
             await trio.sleep(RECONNECT_DELAY_S[0])
-            await stream.send_all(b"")
-            if stream.socket.getsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_ERROR):
-                return
 
 
 async def _run(front: str, port: int, kind: ClientKind, clients: int, statement_bytes: int) -> None:
--- a/fordstair/net/clients/client_limits.py
+++ b/fordstair/net/clients/client_limits.py
@@ -20,6 +20,8 @@
 RPC_MAX_STATEMENT_BYTES = 256 * 1024
 # The room in a message for everything but its statement.
 RPC_MESSAGE_OVERHEAD_BYTES = 4_096
+# The memory that one connection takes, with its tasks and the input that it may always read.
+RPC_CONNECTION_BYTES = 15 * 1024
 # Above this backlog of unsent responses the connection is not read, so that responses cannot pile up.
 RPC_MAX_UNSENT_BYTES = 256 * 1024
 # The interval at which that backlog is checked again.
@@ -46,6 +48,8 @@
 # Shedding of idle connections when a new client finds no capacity:
 # A connection without a valid message counts as new for this long after its last activity, then as silent.
 NEW_CONNECTION_GRACE_MS = 300.0
+# A client counts as active for this long after its last valid request.
+ACTIVE_CLIENT_GRACE_MS = 1_000.0
 # The shed order is reused for this long: sorting anew for each connection of a flood would cost too much.
 SHED_ORDER_VALID_MS = 50.0
 
@@ -58,17 +62,26 @@
         REQUESTED: it has sent a valid message. It is shed before a new connection, since clients that send
             one request and stay connected must not keep others out.
         NEW: it has not had time to send a message yet.
+        ACTIVE: it has sent a valid message just now. It counts as REQUESTED where sockets are short.
     """
 
     SILENT = 0
     REQUESTED = 1
     NEW = 2
+    ACTIVE = 3
 
 
-def shed_rank(*, has_requested: bool, last_activity_ms: float, now_ms: float) -> ShedRank:
-    """Return the shed rank of an idle connection."""
+def shed_rank(
+    *, has_requested: bool, last_activity_ms: float, now_ms: float, keep_active: bool = False
+) -> ShedRank:
+    """Return the shed rank of an idle connection.
+
+    ``keep_active`` is for a shortage of memory, which a crowd that never asks anything must not turn against
+    clients in use.
+    """
     if has_requested:
-        return ShedRank.REQUESTED
+        active = keep_active and last_activity_ms > now_ms - ACTIVE_CLIENT_GRACE_MS
+        return ShedRank.ACTIVE if active else ShedRank.REQUESTED
     return ShedRank.NEW if last_activity_ms > now_ms - NEW_CONNECTION_GRACE_MS else ShedRank.SILENT
 
 
--- a/fordstair/net/clients/rpc_front.py
+++ b/fordstair/net/clients/rpc_front.py
@@ -9,6 +9,7 @@
 
 from fordstair.core.coordinator import Coordinator
 from fordstair.net.clients.client_limits import (
+    RPC_CONNECTION_BYTES,
     RPC_MAX_STATEMENT_BYTES,
     SHED_ORDER_VALID_MS,
     ShedRank,
@@ -17,6 +18,7 @@
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.rpc_connection import RpcConnection
 from fordstair.runtime.event_log import EventLog
+from fordstair.runtime.memory_budget import MemoryUse, Reservation
 
 log = EventLog(__name__)
 
@@ -56,6 +58,13 @@
         self.closing = False
         self._shed_order: deque[ShedCandidate] = deque()
         self._shed_order_built_ms = 0.0
+        self._shed_order_keeps_active = False
+
+    @property
+    def capacity(self) -> int:
+        """The number of connections for which there are sockets and memory, open ones included."""
+        free_bytes = self.coordinator.memory.free_bytes(MemoryUse.CONNECTIONS)
+        return min(self.max_clients, len(self.clients) + free_bytes // RPC_CONNECTION_BYTES)
 
     def close(self) -> None:
         """Close every connection as ``RpcConnection.close`` does, including those that are served later."""
@@ -70,17 +79,28 @@
         ``accept_delay_ms`` is an upper bound on how long it had been connected before this call.
         """
         try:
-            if len(self.clients) >= self.max_clients and not self._shed_one():
-                self.coordinator.counters.add("client.rejected")
-                await trio.aclose_forcefully(stream)
-                return
-            connection = RpcConnection(
-                stream, self.coordinator, self.max_statement_bytes, self.poll_watch, accept_delay_ms
-            )
-            await self._serve(connection)
+            with Reservation(self.coordinator.memory, MemoryUse.CONNECTIONS) as reservation:
+                if not self._admit(reservation):
+                    self.coordinator.counters.add("client.rejected")
+                    await trio.aclose_forcefully(stream)
+                    return
+                connection = RpcConnection(
+                    stream, self.coordinator, self.max_statement_bytes, self.poll_watch, accept_delay_ms
+                )
+                await self._serve(connection)
         except Exception:
             log.exception("client.internal_error")
 
+    def _admit(self, reservation: Reservation) -> bool:
+        """Reserve the memory of a new connection, if need be that of an idle one that is shed for it."""
+        has_room = reservation.try_resize(RPC_CONNECTION_BYTES)
+        if len(self.clients) < self.max_clients and has_room:
+            return True
+        if not self._shed_one(keep_active=not has_room):
+            return False
+        reservation.charge(RPC_CONNECTION_BYTES)  # the task of the one that was shed is about to end
+        return True
+
     async def _serve(self, client: RpcConnection) -> None:
         self.clients.add(client)
         client.closing = self.closing
@@ -90,11 +110,12 @@
         finally:
             self.clients.discard(client)
 
-    def _shed_one(self) -> bool:
-        """Shed one idle connection; return False if there is none."""
+    def _shed_one(self, *, keep_active: bool = False) -> bool:
+        """Shed one idle connection, one in use last if ``keep_active``; return False if there is none."""
         now_ms = self.coordinator.deadlines.clock()
-        if not self._shed_order or now_ms > self._shed_order_built_ms + SHED_ORDER_VALID_MS:
-            self._build_shed_order(now_ms)
+        outdated = now_ms > self._shed_order_built_ms + SHED_ORDER_VALID_MS
+        if not self._shed_order or outdated or keep_active != self._shed_order_keeps_active:
+            self._build_shed_order(now_ms, keep_active=keep_active)
         while self._shed_order:
             candidate = self._shed_order.popleft()
             if self._may_shed(candidate):
@@ -104,21 +125,16 @@
                 return True
         return False
 
-    def _build_shed_order(self, now_ms: float) -> None:
+    def _build_shed_order(self, now_ms: float, *, keep_active: bool) -> None:
         candidates = [
-            ShedCandidate(client, self._rank(client, now_ms), client.last_activity_ms)
+            ShedCandidate(client, _rank(client, now_ms, keep_active=keep_active), client.last_activity_ms)
             for client in self.clients
             if client.idle
         ]
         candidates.sort(key=lambda candidate: (candidate.rank, candidate.last_activity_ms))
         self._shed_order = deque(candidates)
         self._shed_order_built_ms = now_ms
-
-    @staticmethod
-    def _rank(client: RpcConnection, now_ms: float) -> ShedRank:
-        return shed_rank(
-            has_requested=client.has_requested, last_activity_ms=client.last_activity_ms, now_ms=now_ms
-        )
+        self._shed_order_keeps_active = keep_active
 
     def _may_shed(self, candidate: ShedCandidate) -> bool:
         """Return whether the candidate is still open and idle, and has no unread input."""
@@ -129,3 +145,12 @@
             and client.last_activity_ms == candidate.last_activity_ms
             and (client.half_closed or not client.has_unread_input)
         )
+
+
+def _rank(client: RpcConnection, now_ms: float, *, keep_active: bool) -> ShedRank:
+    return shed_rank(
+        has_requested=client.has_requested,
+        last_activity_ms=client.last_activity_ms,
+        now_ms=now_ms,
+        keep_active=keep_active,
+    )
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -25,6 +25,7 @@
 from fordstair.program.engine_list_intake import EngineListIntake
 from fordstair.program.fronts import FrontAcceptor
 from fordstair.program.graceful_shutdown import GracefulShutdown
+from fordstair.program.memory_watch import MemoryWatch
 from fordstair.program.optional_parts import (
     add_zone_watch,
     build_admission_queue,
@@ -42,6 +43,7 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.event_log import EventLog
+from fordstair.runtime.memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
     import ssl
@@ -75,6 +77,9 @@
         self.load_config = load_config
         self.deadlines = Deadlines()
         self.counters = Counters()
+        self.memory = MemoryBudget()
+        self.memory_watch = MemoryWatch(self.memory, self.deadlines)
+        self.counters.include("memory", self.memory.figures)
         self.stop_request = StopRequest()
         self.anchored_clock = AnchoredClock()
         self.wall_clock = WallClock()
@@ -82,7 +87,7 @@
         self.pool = self._build_pool()
         self.transports = self._build_transports()
         self.coordinator = Coordinator(
-            config.settings, config.seed, self.transports, self.deadlines, self.counters
+            config.settings, config.seed, self.transports, self.deadlines, self.counters, self.memory
         )
         self.pool.on_connect_timeout = self.coordinator.engine_unreachable
         self.admission_queue = build_admission_queue(config, self.coordinator)
@@ -118,12 +123,17 @@
         """The listening sockets of all fronts."""
         return self.acceptor.listeners
 
-    async def run(self) -> None:
+    async def run(self, *, limit_memory: bool = False) -> None:
         """Run until SIGTERM, SIGINT or the console requests a stop and the drain is over.
 
-        Raise ConfigError if an address or path of the configuration cannot be used.
+        ``limit_memory`` applies the configured limit to the whole process, which must then run nothing else.
+        Raise ConfigError if an address or path of the configuration cannot be used, or if that limit is less
+        than what the process needs alone.
         """
         self.intake.apply_configured(self.config.known)
+        if limit_memory:
+            self.memory_watch.begin(self.config.memory_mb)
+            self._apply_limits()
         async with trio.open_nursery() as nursery:
             scope = trio.CancelScope(shield=True)
             await nursery.start(self._run_services, scope)
@@ -206,6 +216,7 @@
 
     def _apply_limits(self) -> None:
         """Apply the limits on sockets and memory, and the timeouts of the connection pool."""
+        self.memory_watch.apply_limit(self.config.memory_mb)
         limits = divide_resources(
             self.config.sockets, self.config.memory_mb, with_odata=self.odata is not None
         )
@@ -220,6 +231,7 @@
     async def _start_core(self, nursery: trio.Nursery) -> None:
         await nursery.start(self._handle_signals)
         nursery.start_soon(self._watch_clock)
+        nursery.start_soon(self.memory_watch.run)
         nursery.start_soon(self.poll_watch.run)
         await nursery.start(self.coordinator.run)
         nursery.start_soon(self.engine_list_watch.run)
@@ -254,7 +266,7 @@
             "listens",
             self.config.listen,
             self.rpc.serve,
-            lambda: self.rpc.max_clients,
+            lambda: self.rpc.capacity,
             scopes[0],
         )
         if self.odata is not None and self.operator is not None and self.operator.listen is not None:
--- a/fordstair/program/event_loop.py
+++ b/fordstair/program/event_loop.py
@@ -21,6 +21,6 @@
     that arrives in between on standard error, as an OSError.
     """
     try:
-        await program.run()
+        await program.run(limit_memory=True)
     finally:
         signal.set_wakeup_fd(-1)
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -99,21 +99,26 @@
     run_with_timeout(scene)
 
 
-def test_new_connections_are_shed_after_silent_and_idle_ones() -> None:
-    # Guards against a new connection that is shed before it has had time to send its first request.
-    class FakeStream:
-        socket = SimpleNamespace(fileno=lambda: -1, close=lambda: None)
+class FakeStream:
+    """A stream that is closed already."""
+
+    socket = SimpleNamespace(fileno=lambda: -1, close=lambda: None)
 
-    def client(front: RpcFront, idle_ms: float, has_requested: bool) -> RpcConnection:
-        connection = RpcConnection(FakeStream(), front.coordinator, 1_000)  # type: ignore[arg-type]
-        connection.last_activity_ms -= idle_ms
-        connection.has_requested = has_requested
-        front.clients.add(connection)
-        return connection
 
+def add_client(front: RpcFront, idle_ms: float, has_requested: bool) -> RpcConnection:
+    """Add a connection without a socket to a front."""
+    connection = RpcConnection(FakeStream(), front.coordinator, 1_000)  # type: ignore[arg-type]
+    connection.last_activity_ms -= idle_ms
+    connection.has_requested = has_requested
+    front.clients.add(connection)
+    return connection
+
+
+def test_new_connections_are_shed_after_silent_and_idle_ones() -> None:
+    # Guards against a new connection that is shed before it has had time to send its first request.
     front = RpcFront(Coordinator(parse(config()).settings, 1, {}, Deadlines(lambda: 10_000.0), Counters()))
     new, long_idle, recently_used, silent = (
-        client(front, *each) for each in ((5.0, False), (900.0, True), (100.0, True), (700.0, False))
+        add_client(front, *each) for each in ((5.0, False), (900.0, True), (100.0, True), (700.0, False))
     )
     for expected in (silent, long_idle, recently_used, new):
         assert front._shed_one()
@@ -121,6 +126,17 @@
     assert not front._shed_one()
 
 
+def test_clients_in_use_are_shed_last_where_memory_is_short() -> None:
+    # Guards against a crowd that never asks anything and takes the place of usual clients.
+    front = RpcFront(Coordinator(parse(config()).settings, 1, {}, Deadlines(lambda: 10_000.0), Counters()))
+    in_use, new, long_idle, silent = (
+        add_client(front, *each) for each in ((900.0, True), (5.0, False), (1_100.0, True), (700.0, False))
+    )
+    for expected in (silent, long_idle, new, in_use):
+        assert front._shed_one(keep_active=True)
+        assert expected not in front.clients
+
+
 def test_a_connection_that_has_just_closed_makes_room_for_a_new_one() -> None:
     async def scene() -> None:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,107 @@
+"""The memory budget: its shares, its real size, and what clients are granted or refused by it."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fordstair.configuration.errors import ConfigError
+from fordstair.configuration.platform import parse
+from fordstair.core.coordinator import Coordinator
+from fordstair.net.clients.client_limits import RPC_CONNECTION_BYTES
+from fordstair.net.clients.rpc_front import RpcFront
+from fordstair.program.memory_watch import MemoryWatch
+from fordstair.runtime.counters import Counters
+from fordstair.runtime.deadlines import Deadlines
+from fordstair.runtime.memory_budget import BYTES_PER_MB, MemoryBudget, MemoryLimit, MemoryUse, Reservation
+from tests.standins import config
+
+LIMIT = MemoryLimit(40 * BYTES_PER_MB, 24 * BYTES_PER_MB)
+sizes = st.integers(0, 2 * BYTES_PER_MB)
+
+
+def limited() -> MemoryBudget:
+    budget = MemoryBudget()
+    budget.set_limit(LIMIT)
+    return budget
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(MemoryUse), sizes, st.booleans()), max_size=60))
+def test_reservations_stay_within_the_room_and_are_given_back(
+    steps: list[tuple[MemoryUse, int, bool]],
+) -> None:
+    # Guards against a sum over the limit, and against room that is lost when its holder leaves.
+    budget, held = limited(), list[Reservation]()
+    for use, size, leaves in steps:
+        if leaves and held:
+            held.pop().release()
+        reservation = Reservation(budget, use)
+        had_room = size <= budget.free_bytes(use)
+        assert reservation.try_resize(size) is had_room
+        held.append(reservation)
+        assert budget.used_bytes == sum(each.size for each in held) <= LIMIT.room_bytes
+    for each in held:
+        each.release()
+    assert budget.used_bytes == 0
+
+
+def test_no_use_takes_what_another_is_guaranteed() -> None:
+    # Guards against usual requests refused because a crowd's half-sent messages have taken all room.
+    for use in MemoryUse:
+        budget = limited()
+        while budget.try_reserve(use, 1024):
+            pass
+        for other in MemoryUse:
+            if other is not use:
+                assert budget.try_reserve(other, budget.guaranteed_bytes(other))
+
+
+def test_what_the_reservations_do_not_explain_is_taken_off_the_room() -> None:
+    # Guards against a count that is too low: the real size wins.
+    budget = limited()
+    free_bytes = budget.free_bytes(MemoryUse.INPUT)
+    budget.observe_resident(LIMIT.base_bytes + LIMIT.margin_bytes // 2 + BYTES_PER_MB)
+    assert budget.free_bytes(MemoryUse.INPUT) == free_bytes - BYTES_PER_MB
+    budget.observe_resident(LIMIT.base_bytes)
+    assert budget.free_bytes(MemoryUse.INPUT) == free_bytes
+
+
+def test_who_waits_for_room_gets_it_when_it_is_released() -> None:
+    # Guards against a wait without an end: several wait, and each release wakes all of them.
+    async def scene() -> None:
+        budget = limited()
+        size = budget.free_bytes(MemoryUse.ANSWERS)
+        assert budget.try_reserve(MemoryUse.ANSWERS, size)
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(budget.reserve, MemoryUse.ANSWERS, size // 4)
+            await trio.testing.wait_all_tasks_blocked()
+            assert budget.used(MemoryUse.ANSWERS) == size
+            budget.release(MemoryUse.ANSWERS, size)
+        assert budget.used(MemoryUse.ANSWERS) == size // 4 * 3
+
+    trio.run(scene)
+
+
+def test_a_limit_that_the_program_alone_exceeds_is_named() -> None:
+    with pytest.raises(ConfigError, match=r"limits\.memory_mb: 1, but the program alone uses \d+"):
+        MemoryWatch(MemoryBudget(), Deadlines()).begin(1.0)
+
+
+def test_connections_are_bounded_by_the_memory_for_all_of_them() -> None:
+    # Guards against idle connections that together exceed the memory told.
+    coordinator = Coordinator(
+        parse(config()).settings, 1, {}, Deadlines(lambda: 10_000.0), Counters(), limited()
+    )
+    front = RpcFront(coordinator)
+    front.max_clients = 1_000
+    assert front.capacity == coordinator.memory.free_bytes(MemoryUse.CONNECTIONS) // RPC_CONNECTION_BYTES
+    assert coordinator.memory.try_reserve(MemoryUse.CONNECTIONS, RPC_CONNECTION_BYTES * front.capacity)
+    assert front.capacity == 0
+    with Reservation(coordinator.memory, MemoryUse.CONNECTIONS) as reservation:
+        assert not front._admit(reservation)
+        assert reservation.size == 0
