Reserve a large message's whole length before it is read, and refuse it unkept without room

Cause: each connection could buffer a largest message, with a floor of 16 KB that ignores the limit; nothing bounded the sum. Each connection could also hold 64 KB that it had read and not handled.

Change: RpcInput reads small messages in small pieces; a larger one's length is reserved as soon as it is known. Without room its bytes are dropped as they come, and at its end the request is refused as Overloaded; the connection goes on.

--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -44,6 +44,10 @@
 log = EventLog(__name__)
 
 
+# How long a request that found no room for itself should stay away; by then others have ended.
+MEMORY_RETRY_AFTER_MS = 500.0
+
+
 def _ignore_change() -> None:
     """Do nothing; the default of ``Coordinator.on_change``."""
 
@@ -139,6 +143,13 @@
         self._nursery.start_soon(self._run_request, live)
         return live
 
+    def refuse(self, class_name: str) -> float:
+        """Count a request that is refused for want of memory; return when to retry in ms, 0 for no advice."""
+        self.requests.count_refused(class_name, "no memory")
+        if not self.settings.sends_retry_after:
+            return 0.0
+        return min(MEMORY_RETRY_AFTER_MS, self.settings.max_retry_after_ms)
+
     def client_disconnected(self, live: LiveRequest) -> None:
         """Abandon a request whose client has stopped waiting; no answer is sent."""
         if live.finished:
--- a/fordstair/core/request_table.py
+++ b/fordstair/core/request_table.py
@@ -106,6 +106,12 @@
         )
         self._answer(live, Answer.REJECTED, partial(live.reply.rejected, retry_after_ms))
 
+    def count_refused(self, class_name: str, reason: str) -> None:
+        """Count a request that never entered the table as taken and rejected."""
+        self._counters.add(f"taken.{class_name}")
+        self._counters.add(f"answered.{Answer.REJECTED.value}.{class_name}")
+        self.rejections[class_name, reason] += 1
+
     def fail(self, live: LiveRequest, reason: str) -> None:
         """Answer that the request failed, without a promise whether it has had an effect."""
         self._answer(live, Answer.FAILED, partial(live.reply.failed, reason))
--- a/fordstair/net/clients/client_limits.py
+++ b/fordstair/net/clients/client_limits.py
@@ -20,6 +20,13 @@
 RPC_MAX_STATEMENT_BYTES = 256 * 1024
 # The room in a message for everything but its statement.
 RPC_MESSAGE_OVERHEAD_BYTES = 4_096
+# The most that one read takes.
+MAX_READ_BYTES = 64 * 1024
+# What a connection may always read and hold of messages in progress; an ordinary request is shorter.
+SMALL_MESSAGE_BYTES = 4 * 1024
+SMALL_MESSAGE_BYTES_IF_SCARCE = 1024
+# The memory that a larger message in progress takes, as a multiple of its length: its buffer grows.
+INPUT_MEMORY_FACTOR = 1.6
 # The memory that one connection takes, with its tasks and the input that it may always read.
 RPC_CONNECTION_BYTES = 15 * 1024
 # Above this backlog of unsent responses the connection is not read, so that responses cannot pile up.
--- a/fordstair/net/clients/message_scanner.py
+++ b/fordstair/net/clients/message_scanner.py
@@ -71,6 +71,16 @@
         # How many values are still to come at each level of nesting, the outermost first.
         self._remaining = [1]
 
+    @property
+    def position(self) -> int:
+        """The offset from the value's start of what is scanned next, perhaps beyond the bytes at hand."""
+        return self._position
+
+    def forget(self, size: int) -> None:
+        """Count from ``size`` bytes further on; the caller drops as many that were scanned."""
+        self._position -= size
+        self.needed_bytes -= size
+
     def scan(self, data: bytearray, start: int) -> int | None:
         """Return the end of the value that begins at ``start``; None if it is incomplete.
 
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -9,11 +9,11 @@
 from fordstair.core.live_request import LiveRequest
 from fordstair.net.clients import client_limits, rpc_wire
 from fordstair.net.clients.closing import half_close, linger
-from fordstair.net.clients.message_buffer import MessageBuffer
 from fordstair.net.clients.messagepack import MalformedMessageError
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.read_delay import ReadDelay
 from fordstair.net.clients.response_writer import ResponseWriter
+from fordstair.net.clients.rpc_input import RpcInput, SkippedRequest
 from fordstair.net.clients.rpc_query import InvalidRequestError, read_query
 from fordstair.net.clients.rpc_reply import RpcReply
 from fordstair.runtime.deadlines import DeadlineHandle
@@ -21,7 +21,6 @@
 
 log = EventLog(__name__)
 
-READ_BYTES = 65_536
 # The interval at which drain_input checks whether the input has been read.
 DRAIN_CHECK_MS = 1.0
 
@@ -176,7 +175,7 @@
                 self._wait_scope.cancel()
             await self._writer.wait_for_change()
 
-    async def _receive(self) -> bytes:
+    async def _receive(self, max_bytes: int) -> bytes:
         """Wait for input and return it; return no bytes at its end or when the connection should end.
 
         All input that arrives before the half-close is read, handled and answered; its client would otherwise
@@ -191,10 +190,10 @@
                 half_close(self.stream)
                 break
             with trio.CancelScope() as scope:
-                return await self._receive_chunk(scope)
+                return await self._receive_chunk(scope, max_bytes)
         return b""
 
-    async def _receive_chunk(self, scope: trio.CancelScope) -> bytes:
+    async def _receive_chunk(self, scope: trio.CancelScope, max_bytes: int) -> bytes:
         """Wait for input and read it; cancelling ``scope`` ends the wait without any."""
         self._wait_scope = scope
         self._handling = False
@@ -205,7 +204,7 @@
                 await trio.lowlevel.wait_readable(self.stream.socket)
             self._read_delay.note_readable()
             self._handling = True
-            chunk = bytes(await self.stream.receive_some(READ_BYTES))
+            chunk = bytes(await self.stream.receive_some(max_bytes))
         finally:
             self._wait_scope = None
             self._handling = True
@@ -215,27 +214,31 @@
 
     async def _read(self) -> None:
         """Handle messages until the end of input, a malformed message, a timeout or the half-close."""
-        buffer = MessageBuffer(self.max_statement_bytes + client_limits.RPC_MESSAGE_OVERHEAD_BYTES)
-        while chunk := await self._receive():
-            if not buffer.append(chunk):
-                continue
-            try:
-                handled = await self._handle_messages(buffer)
-            except MalformedMessageError as error:
-                self._reject_malformed(buffer.unhandled, str(error))
-                return
-            self._update_message_timeout(handled=handled > 0, in_message=buffer.has_unhandled)
-            buffer.discard_handled()
-            if self._consecutive_invalid:
-                await self._yield_to_others()
+        with RpcInput(self.max_statement_bytes, self.coordinator.memory) as received:
+            while chunk := await self._receive(received.read_limit):
+                if not received.append(chunk):
+                    continue
+                try:
+                    handled = await self._handle_messages(received)
+                    received.keep_rest()
+                except MalformedMessageError as error:
+                    self._reject_malformed(received.unhandled, str(error))
+                    return
+                self._update_message_timeout(handled=handled > 0, in_message=received.in_message)
+                if self._consecutive_invalid:
+                    await self._yield_to_others()
         # A client that has shut down its sending side counts as disconnected: its requests are not pursued.
         self._abandon_requests()
 
-    async def _handle_messages(self, buffer: MessageBuffer) -> int:
-        """Handle the complete messages in the buffer; return how many. Raise MalformedMessageError."""
+    async def _handle_messages(self, received: RpcInput) -> int:
+        """Handle the complete messages of the input; return how many. Raise MalformedMessageError."""
         handled = 0
-        for value in buffer.values():
-            self._handle(rpc_wire.read_message(value))
+        for value in received.messages():
+            if isinstance(value, SkippedRequest):
+                self._register_request_id(value.request_id)
+                self._refuse(value.request_id, value.method)
+            else:
+                self._handle(rpc_wire.read_message(value))
             handled += 1
             if handled % client_limits.RPC_MESSAGES_PER_TURN == 0:
                 await self._yield_to_others()
@@ -294,13 +297,13 @@
         """
         self.coordinator.counters.add("client.malformed")
         log.info("client.malformed", why=why, open=len(self.open_requests))
-        request_id = rpc_wire.read_request_id(view)
-        unanswered = request_id is not None and (
-            request_id > self._last_request_id or request_id in self.open_requests
+        start = rpc_wire.read_request_start(view)
+        unanswered = start is not None and (
+            start.request_id > self._last_request_id or start.request_id in self.open_requests
         )
         self._abandon_requests()
-        if request_id is not None and unanswered:
-            self._respond(rpc_wire.invalid_response(request_id, why))
+        if start is not None and unanswered:
+            self._respond(rpc_wire.invalid_response(start.request_id, why))
 
     def _handle(self, message: rpc_wire.Message) -> None:
         match message:
@@ -351,6 +354,14 @@
         self.last_activity_ms = self.deadlines.clock()
         self.open_requests[request_id] = self.coordinator.submit(query, RpcReply(self, request_id))
 
+    def _refuse(self, request_id: int, class_name: str) -> None:
+        """Answer at once that there is no room, so that a retry is harmless."""
+        if class_name not in self.coordinator.classes:
+            self._reject(request_id, f"unknown class {class_name[:40]!r}")
+            return
+        self.has_requested = True
+        self._respond(rpc_wire.overloaded_response(request_id, self.coordinator.refuse(class_name)))
+
     def _reject(self, request_id: int, why: str) -> None:
         self.coordinator.counters.add("client.invalid")
         self._consecutive_invalid += 1
--- a/fordstair/net/clients/rpc_wire.py
+++ b/fordstair/net/clients/rpc_wire.py
@@ -36,6 +36,14 @@
     params: Any
 
 
+@dataclass(slots=True, frozen=True)
+class RequestStart:
+    """What can be read of a request that is not whole; ``method`` is empty if it cannot be read."""
+
+    request_id: int
+    method: str
+
+
 @dataclass(slots=True)
 class InvalidMessage:
     """A request that is invalid, but has an id under which it can be answered."""
@@ -74,16 +82,27 @@
     raise MalformedMessageError("neither a request nor a notification")
 
 
-def read_request_id(view: memoryview) -> int | None:
-    """Return the id of a request that is malformed after its id; return None if the id cannot be read."""
+def read_request_start(view: memoryview) -> RequestStart | None:
+    """Return the start of a request that is incomplete or malformed; None if its id cannot be read."""
     if not view or view[0] != _REQUEST_FIRST_BYTE:
         return None
     try:
         kind, offset = read(view, _KIND_OFFSET)
-        request_id, _ = read(view, offset)
+        request_id, offset = read(view, offset)
     except (IncompleteMessageError, MalformedMessageError):
         return None
-    return request_id if kind == _REQUEST and _is_id(request_id) else None
+    if kind != _REQUEST or not _is_id(request_id):
+        return None
+    return RequestStart(request_id, _read_method(view, offset))
+
+
+def _read_method(view: memoryview, offset: int) -> str:
+    """Return the method at an offset; an empty text if it cannot be read."""
+    try:
+        method, _ = read(view, offset)
+    except (IncompleteMessageError, MalformedMessageError):
+        return ""
+    return str(method, "utf-8", "replace") if isinstance(method, memoryview) else ""
 
 
 def result_response(request_id: int, pages: Sequence[bytes]) -> bytes:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgpack
 import pytest
 import trio
 import trio.testing
@@ -17,9 +18,11 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.memory_budget import BYTES_PER_MB, MemoryBudget, MemoryLimit, MemoryUse, Reservation
-from tests.standins import config
+from tests.scenes import ROWS, run_with_timeout, until
+from tests.standins import config, connect, engine, run_in_process
 
 LIMIT = MemoryLimit(40 * BYTES_PER_MB, 24 * BYTES_PER_MB)
+FIELDS = {"txn": "f" * 16, "limit": "3000", "team": "karri-energy", "cpu": "200.0", "need_mb": "96"}
 sizes = st.integers(0, 2 * BYTES_PER_MB)
 
 
@@ -105,3 +108,32 @@
     with Reservation(coordinator.memory, MemoryUse.CONNECTIONS) as reservation:
         assert not front._admit(reservation)
         assert reservation.size == 0
+
+
+def test_a_large_request_without_room_is_refused_at_its_end_and_the_next_one_is_served() -> None:
+    # Guards against half-sent requests that together exceed the memory, and a connection lost with them.
+    async def scene() -> None:
+        async with engine() as rest_engine, run_in_process(config(rest_engine.address)) as node:
+            node.memory.set_limit(LIMIT)
+            node.rpc.max_statement_bytes = 50_000
+            half_sent = await connect(node)
+            message = msgpack.packb([0, 1, "lookup", [FIELDS, bytes(50_000)]])
+            await half_sent.stream.send_all(message[:-1])
+            await until(lambda: node.memory.used(MemoryUse.INPUT) > len(message))
+            taken_bytes = node.memory.free_bytes(MemoryUse.INPUT)
+            assert node.memory.try_reserve(MemoryUse.INPUT, taken_bytes)
+            client = await connect(node)
+            await client.stream.send_all(message[:-1])
+            await until(lambda: node.counters.snapshot()["memory.no_room"])
+            held_bytes = node.memory.used(MemoryUse.INPUT)
+            client.last_id = 1
+            await client.stream.send_all(message[-1:])
+            number = await client.send_request()
+            assert (await client.answer(1))[0] == ["Overloaded", {"later": "500"}]
+            assert await client.answer(number) == (None, ROWS)
+            assert node.counters["answered.rejected.lookup"] == 1
+            assert node.memory.used(MemoryUse.INPUT) == held_bytes
+            await half_sent.stream.aclose()
+            await until(lambda: node.memory.used(MemoryUse.INPUT) == taken_bytes)
+
+    run_with_timeout(scene)
