--- a/fordstair/core/statements.py
+++ b/fordstair/core/statements.py
@@ -13,6 +13,7 @@
 _NAME = r'(?:"(?P<quoted>[^"]+)"|(?P<plain>[A-Za-z_]\w*))'
 _DOLLAR_TAG = r"(?P<dollar>\$\w*\$)"
 _TOKEN = re.compile(rf"{_STRING_OR_COMMENT}|{_DOLLAR_TAG}|/\*|{_NAME}|(?P<mark>[.,()])|\d[\w.]*|\S", re.S)
+_NOT_SPACE = re.compile(r"\S")  # at a space, each alternative of a token would be tried in vain
 _DOLLAR_TAG_START = re.compile(r"\$(?=(\w*\$))")
 _COMMENT_DELIMITER = re.compile(r"/\*|\*/")
 _NUMBERED_SCHEMA = re.compile(r".*_(\d{1,9})$", re.S)
@@ -120,9 +121,11 @@
     dollar_tags: _DollarTags | None = None
     position = 0
     for _ in range(MAX_SCANNED_TOKENS):
-        match = _TOKEN.search(statement, position)
-        if match is None:
+        start = _NOT_SPACE.search(statement, position)
+        if start is None:
             break
+        match = _TOKEN.match(statement, start.start())
+        assert match is not None  # any character but a space is a token
         position = match.end()
         if match[0] == "/*":
             position = _comment_end(statement, position)
--- a/tests/test_client_overload.py
+++ b/tests/test_client_overload.py
@@ -40,7 +40,7 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["$%d", "$$", "$a$", "'", "'$%d", "/*", '"', "--", "a_1.", "a,", "from ", "$a_%d.b$"],
+    ["$%d", " ", "$$", "$a$", "'", "'$%d", "/*", '"', "--", "a_1.", "a,", "from ", "$a_%d.b$"],
 )
 def test_the_time_of_a_statement_scan_grows_with_its_length_alone(text: str) -> None:
     # Guards against a statement that stops the program: time grew with the square of unclosed dollar tags.
