Reserve the memory of a request before it is let in, and refuse it at once without room

Cause: 32 requests a connection, each with its statement, task and state, and nothing for their sum; all messages at hand were read in one turn of the loop (80 ms a turn), and usual requests waited behind thousands.

Long statements leave room for short ones. Where memory is short, connections that were never let in make room 0.1 s after they came.

--- a/fordstair/core/arrival_pacer.py
+++ b/fordstair/core/arrival_pacer.py
@@ -11,20 +11,21 @@
 
 import trio
 
+from fordstair.core.ports import ClientActivity
+
 ARRIVALS_PER_TURN = 2  # one from a known client and one from a new client if both are waiting
 
 
 class ArrivalPacer:
     """Admits ARRIVALS_PER_TURN requests in each turn of the event loop; the others wait in order of arrival.
 
-    A client is new for the first request on its connection. New clients have a queue of their own, so that a
-    burst of them does not hold back the requests of known clients.
+    Requests of new clients have a queue of their own, so that a burst of them does not hold back those of
+    known clients. Requests of clients that have several open already are admitted when no other one waits.
     """
 
     def __init__(self) -> None:
         self._admitted_this_turn = 0
-        self._known_clients: deque[trio.Event] = deque()
-        self._new_clients: deque[trio.Event] = deque()
+        self._queues = {activity: deque[trio.Event]() for activity in ClientActivity}
         self._turn_used = trio.Event()  # set once a request has been admitted in this turn
 
     async def run(self) -> None:
@@ -33,20 +34,20 @@
             await self._turn_used.wait()  # yields even if already set, so the next turn begins
             self._turn_used = trio.Event()
             self._admitted_this_turn = 0
-            self._admit(self._known_clients, ARRIVALS_PER_TURN - 1)
-            self._admit(self._new_clients, ARRIVALS_PER_TURN - self._admitted_this_turn)
-            self._admit(self._known_clients, ARRIVALS_PER_TURN - self._admitted_this_turn)
+            self._admit(ClientActivity.KNOWN, ARRIVALS_PER_TURN - 1)
+            for activity in (ClientActivity.NEW, ClientActivity.KNOWN, ClientActivity.BUSY):
+                self._admit(activity, ARRIVALS_PER_TURN - self._admitted_this_turn)
 
-    def admit_nowait(self, *, new_client: bool) -> bool:
+    def admit_nowait(self, activity: ClientActivity) -> bool:
         """Admit a request if its queue is empty and this turn has room; return whether it was admitted."""
-        if self._queue(new_client) or self._admitted_this_turn >= ARRIVALS_PER_TURN:
+        if self._queues[activity] or self._admitted_this_turn >= ARRIVALS_PER_TURN:
             return False
         self._count_admission()
         return True
 
-    async def wait(self, *, new_client: bool) -> None:
+    async def wait(self, activity: ClientActivity) -> None:
         """Wait in the queue until the request is admitted; if cancelled, leave the queue."""
-        queue = self._queue(new_client)
+        queue = self._queues[activity]
         admitted = trio.Event()
         queue.append(admitted)
         try:
@@ -58,13 +59,11 @@
 
     def admit_all(self) -> None:
         """Admit all requests that are waiting now."""
-        self._admit(self._known_clients, len(self._known_clients))
-        self._admit(self._new_clients, len(self._new_clients))
-
-    def _queue(self, new_client: bool) -> deque[trio.Event]:
-        return self._new_clients if new_client else self._known_clients
+        for activity, queue in self._queues.items():
+            self._admit(activity, len(queue))
 
-    def _admit(self, queue: deque[trio.Event], count: int) -> None:
+    def _admit(self, activity: ClientActivity, count: int) -> None:
+        queue = self._queues[activity]
         for _ in range(min(count, len(queue))):
             queue.popleft().set()
             self._count_admission()
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -21,6 +21,7 @@
 from fordstair.core.live_request import LiveRequest
 from fordstair.core.ports import Engine, Query, Reply, Transport
 from fordstair.core.query_priorities import QueryPriorities
+from fordstair.core.request_memory import reserve_request, try_reserve_request
 from fordstair.core.request_table import RequestTable
 from fordstair.decisions.engine_list import ListUpdateKind
 from fordstair.decisions.events import (
@@ -39,7 +40,7 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.event_log import EventLog
-from fordstair.runtime.memory_budget import MemoryBudget
+from fordstair.runtime.memory_budget import MemoryBudget, Reservation
 
 log = EventLog(__name__)
 
@@ -135,12 +136,23 @@
         """Return whether a load with this transaction id has ended and may have run."""
         return self.requests.is_past_load(transaction_id)
 
+    def try_submit(self, query: Query, reply: Reply) -> LiveRequest | None:
+        """Accept a request as ``submit`` does; return None if there is no memory for it.
+
+        The caller then calls ``refuse`` and answers the client itself.
+        """
+        reservation = try_reserve_request(self.memory, query.statement)
+        return None if reservation is None else self._start(query, reply, reservation)
+
     def submit(self, query: Query, reply: Reply) -> LiveRequest:
         """Accept a request; its reply gets exactly one final answer, unless the client disconnects."""
+        return self._start(query, reply, reserve_request(self.memory, query.statement))
+
+    def _start(self, query: Query, reply: Reply, reservation: Reservation) -> LiveRequest:
         assert self._nursery is not None, "the coordinator is not running"
         spec = self.settings.classes[query.class_index]
         live = self.requests.add(query, reply, spec, self.deadlines.clock())
-        self._nursery.start_soon(self._run_request, live)
+        self._nursery.start_soon(self._run_request, live, reservation)
         return live
 
     def refuse(self, class_name: str) -> float:
@@ -219,7 +231,7 @@
         """Limit the threads that a class may have in flight; None removes the limit."""
         self.dispatch(ConcurrencyLimitSet(class_index, threads))
 
-    async def _run_request(self, live: LiveRequest) -> None:
+    async def _run_request(self, live: LiveRequest, reservation: Reservation) -> None:
         """Process a request; answer it as failed on an unexpected exception, which must not affect others."""
         try:
             await self._process(live)
@@ -235,13 +247,14 @@
                 watch.attempt_ended(live.id)
             if (queue := self.extensions.admission_queue) is not None:
                 queue.request_finished(live)
+            reservation.release()
 
     async def _process(self, live: LiveRequest) -> None:
         """Process a request from its arrival to its final answer."""
-        new_client = live.query.from_new_client
-        if not (live.finished or self.withdrawing or self._arrival_pacer.admit_nowait(new_client=new_client)):
+        activity = live.query.client_activity
+        if not (live.finished or self.withdrawing or self._arrival_pacer.admit_nowait(activity)):
             with self.deadlines.limit(live.deadline_ms):  # after the deadline it is answered without waiting
-                await self._arrival_pacer.wait(new_client=new_client)
+                await self._arrival_pacer.wait(activity)
         if live.finished:  # it ended while waiting: the decision module must not plan attempts for it
             return
         queue = self.extensions.admission_queue
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
+from enum import Enum
 from typing import Protocol
 
 from fordstair.decisions.engine_list import EngineEntry, EngineState
@@ -11,6 +12,14 @@
 from fordstair.runtime.clock import UnixMs
 
 
+class ClientActivity(Enum):
+    """What a client has going on its connection when it sends a request."""
+
+    NEW = "new"  # this is the first request on its connection
+    KNOWN = "known"
+    BUSY = "busy"  # several of its requests are open
+
+
 @dataclass(slots=True, frozen=True)
 class Query:
     """One request of a client, independent of the front's protocol.
@@ -25,7 +34,7 @@
         read_delay_ms: the part of ``timeout_ms`` that had passed when the request was read.
         idempotency_key: key of a request in a class with keys; the same in each of the client's retries.
         ordering_key: key that the client chose; requests with the same key keep their order.
-        from_new_client: whether this is the first request on its connection.
+        client_activity: what its client has going.
     """
 
     transaction_id: str
@@ -40,7 +49,7 @@
     read_delay_ms: float = 0.0
     idempotency_key: str = ""
     ordering_key: str = ""
-    from_new_client: bool = False
+    client_activity: ClientActivity = ClientActivity.KNOWN
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/fordstair/core/request_memory.py
@@ -0,0 +1,35 @@
+"""The memory of an open request, which is reserved before the request is let in."""
+
+from __future__ import annotations
+
+from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse, Reservation
+
+# What an open request takes besides its statement: its task and state, and the first page of its result.
+REQUEST_BYTES = 16 * 1024
+# A statement is held by its request and, while it is sent to an engine, by the encoded request as well.
+STATEMENT_COPIES = 2
+# A request with a longer statement leaves room for others.
+SMALL_STATEMENT_BYTES = 4 * 1024
+# Share of what is guaranteed to requests that long statements leave free.
+SMALL_REQUESTS_SHARE = 0.5
+
+
+def request_bytes(statement: bytes) -> int:
+    """Return the memory of an open request with a statement."""
+    return REQUEST_BYTES + STATEMENT_COPIES * len(statement)
+
+
+def try_reserve_request(budget: MemoryBudget, statement: bytes) -> Reservation | None:
+    """Reserve the memory of a request; return None if there is no room for it."""
+    keep_free = 0
+    if len(statement) > SMALL_STATEMENT_BYTES:
+        keep_free = int(SMALL_REQUESTS_SHARE * budget.guaranteed_bytes(MemoryUse.REQUESTS))
+    reservation = Reservation(budget, MemoryUse.REQUESTS)
+    return reservation if reservation.try_resize(request_bytes(statement), keep_free=keep_free) else None
+
+
+def reserve_request(budget: MemoryBudget, statement: bytes) -> Reservation:
+    """Reserve the memory of a request whether there is room or not."""
+    reservation = Reservation(budget, MemoryUse.REQUESTS)
+    reservation.charge(request_bytes(statement))
+    return reservation
--- a/fordstair/net/clients/client_limits.py
+++ b/fordstair/net/clients/client_limits.py
@@ -17,6 +17,8 @@
 RPC_WRITE_TIMEOUT_MS = 5_000.0
 # Limits the open requests of one connection.
 RPC_MAX_OPEN_REQUESTS = 32
+# With this many open requests a client has to wait for others with fewer.
+RPC_BUSY_OPEN_REQUESTS = 4
 RPC_MAX_STATEMENT_BYTES = 256 * 1024
 # The room in a message for everything but its statement.
 RPC_MESSAGE_OVERHEAD_BYTES = 4_096
@@ -55,6 +57,8 @@
 # Shedding of idle connections when a new client finds no capacity:
 # A connection without a valid message counts as new for this long after its last activity, then as silent.
 NEW_CONNECTION_GRACE_MS = 300.0
+# The same where memory is short.
+NEW_CONNECTION_GRACE_IF_SHORT_MS = 100.0
 # A client counts as active for this long after its last valid request.
 ACTIVE_CLIENT_GRACE_MS = 1_000.0
 # The shed order is reused for this long: sorting anew for each connection of a flood would cost too much.
--- a/fordstair/net/clients/odata_statements.py
+++ b/fordstair/net/clients/odata_statements.py
@@ -12,7 +12,7 @@
 
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.live_request import LiveRequest
-from fordstair.core.ports import Query
+from fordstair.core.ports import ClientActivity, Query
 from fordstair.decisions.settings import Idempotency, RequestClass
 from fordstair.net.clients.odata_errors import ClientDisconnectedError, ODataError
 from fordstair.net.clients.odata_model import EntitySet
@@ -130,7 +130,11 @@
         if self.disconnected:
             raise ClientDisconnectedError
         self._reply = PendingReply()
-        self._live = live = coordinator.submit(self._query(statement), self._reply)
+        live = coordinator.try_submit(self._query(statement), self._reply)
+        if live is None:
+            self._reply.rejected(coordinator.refuse(statement.class_name))
+            raise _error_from_reply(self._reply, at_deadline=False)
+        self._live = live
         self._has_run_statement = True
         try:
             await self._reply.done.wait()
@@ -160,7 +164,7 @@
             statement.entity_set.memory_mb,
             self._elapsed_wait_ms(),
             idempotency_key=_new_idempotency_key(spec),
-            from_new_client=not self._has_run_statement,
+            client_activity=ClientActivity.KNOWN if self._has_run_statement else ClientActivity.NEW,
         )
 
     def _elapsed_wait_ms(self) -> float:
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -7,11 +7,13 @@
 from fordstair.core.coordinator import Coordinator
 from fordstair.core.invariants import Invariant
 from fordstair.core.live_request import LiveRequest
+from fordstair.core.ports import ClientActivity
 from fordstair.net.clients import client_limits, rpc_wire
 from fordstair.net.clients.closing import half_close, linger
 from fordstair.net.clients.messagepack import MalformedMessageError
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.read_delay import ReadDelay
+from fordstair.net.clients.read_pacer import ReadPacer
 from fordstair.net.clients.response_writer import ResponseWriter
 from fordstair.net.clients.rpc_input import RpcInput, SkippedRequest
 from fordstair.net.clients.rpc_query import InvalidRequestError, read_query
@@ -35,6 +37,8 @@
         closing: whether the connection is to end once all input is answered and every response is sent.
         half_closed: whether the sending side is shut down; any further input is discarded.
         has_requested: whether the client has sent a valid request or a health check.
+        was_admitted: whether one of them was let in, and not refused for want of memory.
+        connected_ms: when this object was created.
         last_activity_ms: the time of the latest valid request or response.
     """
 
@@ -45,6 +49,7 @@
         max_statement_bytes: int,
         poll_watch: PollWatch | None = None,
         accept_delay_ms: float = 0.0,
+        read_pacer: ReadPacer | None = None,
     ) -> None:
         self.stream = stream
         self.coordinator = coordinator
@@ -54,7 +59,8 @@
         self.closing = False
         self.half_closed = False
         self.has_requested = False
-        self.last_activity_ms = self.deadlines.clock()
+        self.was_admitted = False
+        self.connected_ms = self.last_activity_ms = self.deadlines.clock()
         self._last_read_ms = self.last_activity_ms
         # When the incomplete message began; 0 if there is none.
         self._message_began_ms = 0.0
@@ -62,6 +68,7 @@
         self._last_request_id = -1
         self._writer = ResponseWriter(stream, self.deadlines, client_limits.RPC_WRITE_TIMEOUT_MS)
         self._read_delay = ReadDelay(stream, poll_watch or PollWatch(), self.deadlines, accept_delay_ms)
+        self._read_pacer = read_pacer or ReadPacer()
         # Whether input may have been read that is not handled yet:
         self._handling = False
         # Cancelling this scope ends the current wait for input; None while there is no wait.
@@ -202,6 +209,9 @@
                 await trio.lowlevel.checkpoint_if_cancelled()  # abort() closes the socket
                 self._read_delay.begin_wait()
                 await trio.lowlevel.wait_readable(self.stream.socket)
+            if max_bytes > client_limits.SMALL_MESSAGE_BYTES:
+                await self._read_pacer.wait()
+                self._read_delay.begin_wait()  # the input may have arrived before the wait for the pacer
             self._read_delay.note_readable()
             self._handling = True
             chunk = bytes(await self.stream.receive_some(max_bytes))
@@ -330,7 +340,7 @@
 
     def _handle_request(self, request_id: int, method: str, params: object) -> None:
         if method == rpc_wire.HEALTH_CHECK_METHOD:
-            self.has_requested = True
+            self.has_requested = self.was_admitted = True
             self._respond(rpc_wire.health_response(request_id, accepting=not self.coordinator.draining))
             return
         if len(self.open_requests) >= client_limits.RPC_MAX_OPEN_REQUESTS:
@@ -344,15 +354,19 @@
                 self.coordinator,
                 self.max_statement_bytes,
                 read_delay_ms,
-                from_new_client=not self.has_requested,
+                self._activity,
             )
         except InvalidRequestError as error:
             self._reject(request_id, str(error))
             return
-        self.has_requested = True
+        live = self.coordinator.try_submit(query, RpcReply(self, request_id))
+        if live is None:
+            self._refuse(request_id, method)
+            return
+        self.has_requested = self.was_admitted = True
         self._consecutive_invalid = 0
         self.last_activity_ms = self.deadlines.clock()
-        self.open_requests[request_id] = self.coordinator.submit(query, RpcReply(self, request_id))
+        self.open_requests[request_id] = live
 
     def _refuse(self, request_id: int, class_name: str) -> None:
         """Answer at once that there is no room, so that a retry is harmless."""
@@ -362,6 +376,12 @@
         self.has_requested = True
         self._respond(rpc_wire.overloaded_response(request_id, self.coordinator.refuse(class_name)))
 
+    @property
+    def _activity(self) -> ClientActivity:
+        if len(self.open_requests) >= client_limits.RPC_BUSY_OPEN_REQUESTS:
+            return ClientActivity.BUSY
+        return ClientActivity.KNOWN if self.has_requested else ClientActivity.NEW
+
     def _reject(self, request_id: int, why: str) -> None:
         self.coordinator.counters.add("client.invalid")
         self._consecutive_invalid += 1
--- a/fordstair/net/clients/rpc_front.py
+++ b/fordstair/net/clients/rpc_front.py
@@ -9,6 +9,7 @@
 
 from fordstair.core.coordinator import Coordinator
 from fordstair.net.clients.client_limits import (
+    NEW_CONNECTION_GRACE_IF_SHORT_MS,
     RPC_CONNECTION_BYTES,
     RPC_MAX_STATEMENT_BYTES,
     SHED_ORDER_VALID_MS,
@@ -16,6 +17,7 @@
     shed_rank,
 )
 from fordstair.net.clients.poll_watch import PollWatch
+from fordstair.net.clients.read_pacer import ReadPacer
 from fordstair.net.clients.rpc_connection import RpcConnection
 from fordstair.runtime.event_log import EventLog
 from fordstair.runtime.memory_budget import MemoryUse, Reservation
@@ -56,6 +58,7 @@
         self.poll_watch = poll_watch or PollWatch()
         self.clients: set[RpcConnection] = set()
         self.closing = False
+        self._read_pacer = ReadPacer()
         self._shed_order: deque[ShedCandidate] = deque()
         self._shed_order_built_ms = 0.0
         self._shed_order_keeps_active = False
@@ -85,7 +88,12 @@
                     await trio.aclose_forcefully(stream)
                     return
                 connection = RpcConnection(
-                    stream, self.coordinator, self.max_statement_bytes, self.poll_watch, accept_delay_ms
+                    stream,
+                    self.coordinator,
+                    self.max_statement_bytes,
+                    self.poll_watch,
+                    accept_delay_ms,
+                    self._read_pacer,
                 )
                 await self._serve(connection)
         except Exception:
@@ -129,7 +137,7 @@
         candidates = [
             ShedCandidate(client, _rank(client, now_ms, keep_active=keep_active), client.last_activity_ms)
             for client in self.clients
-            if client.idle
+            if client.idle or (keep_active and _never_served(client, now_ms))
         ]
         candidates.sort(key=lambda candidate: (candidate.rank, candidate.last_activity_ms))
         self._shed_order = deque(candidates)
@@ -137,20 +145,33 @@
         self._shed_order_keeps_active = keep_active
 
     def _may_shed(self, candidate: ShedCandidate) -> bool:
-        """Return whether the candidate is still open and idle, and has no unread input."""
+        """Return whether the candidate is still open and idle, and has no unread input.
+
+        Where memory is short, one that was never served may be in a message or have unread input.
+        """
         client = candidate.connection
+        if client not in self.clients:
+            return False
+        if self._shed_order_keeps_active and _never_served(client, self.coordinator.deadlines.clock()):
+            return True
         return (
-            client in self.clients
-            and client.idle
+            client.idle
             and client.last_activity_ms == candidate.last_activity_ms
             and (client.half_closed or not client.has_unread_input)
         )
 
 
+def _never_served(client: RpcConnection, now_ms: float) -> bool:
+    """Return whether a client has had time for a request and none was let in; what it sent is answered."""
+    is_new = client.connected_ms > now_ms - NEW_CONNECTION_GRACE_IF_SHORT_MS
+    return client.quiescent and not (client.was_admitted or is_new)
+
+
 def _rank(client: RpcConnection, now_ms: float, *, keep_active: bool) -> ShedRank:
+    never_served = keep_active and not client.was_admitted  # its refusals are no activity of its own
     return shed_rank(
-        has_requested=client.has_requested,
-        last_activity_ms=client.last_activity_ms,
+        has_requested=client.has_requested and not never_served,
+        last_activity_ms=client.connected_ms if never_served else client.last_activity_ms,
         now_ms=now_ms,
         keep_active=keep_active,
     )
--- a/fordstair/net/clients/rpc_query.py
+++ b/fordstair/net/clients/rpc_query.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from fordstair.core.coordinator import Coordinator
-from fordstair.core.ports import Query
+from fordstair.core.ports import ClientActivity, Query
 from fordstair.decisions.settings import Idempotency
 
 _TRANSACTION_ID = b"txn"
@@ -36,8 +36,7 @@
     coordinator: Coordinator,
     max_statement_bytes: int,
     read_delay_ms: float = 0.0,
-    *,
-    from_new_client: bool = False,
+    client_activity: ClientActivity = ClientActivity.KNOWN,
 ) -> Query:
     """Read a request's fields and statement; raise InvalidRequestError that names the invalid part."""
     if method not in coordinator.classes:
@@ -63,7 +62,7 @@
         read_delay_ms,
         _read_idempotency_key(fields, method, coordinator),
         _read_key(fields, _ORDERING_KEY) if _ORDERING_KEY in fields else "",
-        from_new_client,
+        client_activity,
     )
 
 
--- a/fordstair/program/memory_watch.py
+++ b/fordstair/program/memory_watch.py
@@ -52,8 +52,8 @@
         self._budget.set_limit(limit)
 
     async def run(self) -> None:
-        """Compare the budget with the real size now and then, until cancelled."""
-        while True:
+        """Compare the budget with the real size now and then until cancelled, once it has begun."""
+        while self._base_bytes:
             await self._deadlines.sleep(CHECK_INTERVAL_MS)
             self._budget.observe_resident(resident_bytes())
             if self._budget.unexplained_bytes > COLLECT_ABOVE_BYTES:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -109,7 +109,8 @@
     """Add a connection without a socket to a front."""
     connection = RpcConnection(FakeStream(), front.coordinator, 1_000)  # type: ignore[arg-type]
     connection.last_activity_ms -= idle_ms
-    connection.has_requested = has_requested
+    connection.connected_ms -= idle_ms
+    connection.has_requested = connection.was_admitted = has_requested
     front.clients.add(connection)
     return connection
 
--- a/tests/test_client_overload.py
+++ b/tests/test_client_overload.py
@@ -7,10 +7,13 @@
 import msgpack
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from fordstair.core import live_request
-from fordstair.core.arrival_pacer import ARRIVALS_PER_TURN
+from fordstair.core.arrival_pacer import ARRIVALS_PER_TURN, ArrivalPacer
+from fordstair.core.ports import ClientActivity
 from fordstair.core.statements import table_group
+from fordstair.net.clients.read_pacer import LARGE_READS_PER_TURN, ReadPacer
 from fordstair.net.clients.rpc_connection import RpcConnection
 from tests.scenes import ROWS, run_with_timeout, until
 from tests.standins import config, connect, engine, never_finish, program, run_in_process
@@ -118,3 +121,52 @@
             assert len(scanned) == 1
 
     run_with_timeout(scene)
+
+
+def test_a_request_of_a_client_with_few_open_is_admitted_before_those_of_busy_clients() -> None:
+    # Guards against usual requests that wait behind hundreds that a few clients have sent at once.
+    async def scene() -> None:
+        pacer, admitted = ArrivalPacer(), list[ClientActivity]()
+
+        async def arrive(activity: ClientActivity) -> None:
+            if not pacer.admit_nowait(activity):
+                await pacer.wait(activity)
+            admitted.append(activity)
+
+        async with trio.open_nursery() as nursery:
+            for activity in (*[ClientActivity.BUSY] * 6, ClientActivity.KNOWN, ClientActivity.NEW):
+                nursery.start_soon(arrive, activity)
+                await wait_all_tasks_blocked()
+            nursery.start_soon(pacer.run)
+            await until(lambda: len(admitted) == 8)
+            nursery.cancel_scope.cancel()
+        assert admitted[:2] == [ClientActivity.BUSY] * 2
+        assert set(admitted[2:4]) == {ClientActivity.KNOWN, ClientActivity.NEW}
+
+    run_with_timeout(scene)
+
+
+def test_large_reads_are_spread_over_turns_and_none_waits_without_an_end() -> None:
+    # Guards against a turn that takes as long as all clients' large messages together.
+    async def scene() -> None:
+        pacer, done = ReadPacer(), list[int]()
+
+        async def read(number: int) -> None:
+            await pacer.wait()
+            done.append(number)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(3 * LARGE_READS_PER_TURN):
+                nursery.start_soon(read, number)
+            await trio.lowlevel.checkpoint()
+            assert 0 < len(done) <= LARGE_READS_PER_TURN
+        assert len(done) == 3 * LARGE_READS_PER_TURN
+        with trio.move_on_after(0.01):  # those that leave the queue do not take the place of others
+            async with trio.open_nursery() as nursery:
+                for number in range(3 * LARGE_READS_PER_TURN):
+                    nursery.start_soon(read, number)
+                nursery.cancel_scope.cancel()
+        await read(-1)
+        assert done[-1] == -1
+
+    run_with_timeout(scene)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -19,9 +19,10 @@
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.memory_budget import BYTES_PER_MB, MemoryBudget, MemoryLimit, MemoryUse, Reservation
 from tests.scenes import ROWS, run_with_timeout, until
-from tests.standins import config, connect, engine, run_in_process
+from tests.standins import config, connect, engine, never_finish, run_in_process
 
 LIMIT = MemoryLimit(40 * BYTES_PER_MB, 24 * BYTES_PER_MB)
+TIGHT_LIMIT = MemoryLimit(28 * BYTES_PER_MB, 24 * BYTES_PER_MB)
 FIELDS = {"txn": "f" * 16, "limit": "3000", "team": "karri-energy", "cpu": "200.0", "need_mb": "96"}
 sizes = st.integers(0, 2 * BYTES_PER_MB)
 
@@ -137,3 +138,29 @@
             await until(lambda: node.memory.used(MemoryUse.INPUT) == taken_bytes)
 
     run_with_timeout(scene)
+
+
+def test_requests_without_room_are_refused_at_once_and_room_comes_back_however_they_end() -> None:
+    # Guards against open requests that together exceed the memory, and against room that is lost with them.
+    async def scene() -> None:
+        async with engine(never_finish) as rest_engine, run_in_process(config(rest_engine.address)) as node:
+            node.memory.set_limit(TIGHT_LIMIT)
+            crowd = [await connect(node) for _ in range(12)]
+            for number, client in enumerate(crowd):
+                for _ in range(32):
+                    txn = f"{number:08x}{client.last_id:08x}"
+                    await client.send_request(body=b"x" * 10_000, txn=txn, limit="20000")
+            await until(lambda: node.coordinator.requests.rejections["lookup", "no memory"] > 0)
+            assert node.memory.used_bytes <= TIGHT_LIMIT.room_bytes
+            usual = await connect(node)
+            number = await usual.send_request(txn="e" * 16, limit="20000")
+            await until(lambda: node.counters["taken.lookup"] == 12 * 32 + 1)
+            assert number not in usual.answers  # it was let in
+            await crowd[0].stream.send_eof()
+            for number in range(1, 33):
+                await crowd[1].send([2, "cancelRequest", [number]])
+            for client in (usual, *crowd):
+                await client.stream.aclose()
+            await until(lambda: node.memory.used(MemoryUse.REQUESTS) == 0)
+
+    run_with_timeout(scene)
