Bound the answers that are gathered from engines or not read by clients together

Cause: 1 MB a result and a response, 256 KB of unread responses a connection, 575 connections to engines, each bounded by itself.

Change: a result's pages are reserved before they are fetched, and one for which there can be no room fails at once; a response from an engine beyond 8 KB is reserved as it comes, or given up as broken; connections to engines are reserved; unread responses hold reservations until they are sent. While memory is scarce a connection may have 16 KB unread, no attempt begins for such a client, and one that has read nothing for 1 s is closed (else 5 s). The margin is 3 MB, and what the real size has over it is taken off the room sooner; free memory goes back to the system.

--- a/fordstair/core/attempt_executor.py
+++ b/fordstair/core/attempt_executor.py
@@ -11,6 +11,7 @@
 from fordstair.core.invariants import Invariants
 from fordstair.core.live_request import AttemptOutcome, LiveRequest
 from fordstair.core.ports import AttemptFailedError, AttemptRequest, Call, Engine, Transport
+from fordstair.core.request_memory import FIRST_PAGE_BYTES
 from fordstair.core.request_table import RequestTable
 from fordstair.core.send_guard import Denial
 from fordstair.decisions.actions import SendAttempt
@@ -19,6 +20,7 @@
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.event_log import EventLog
+from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse, Reservation
 
 log = EventLog(__name__)
 
@@ -54,6 +56,7 @@
         engines: EngineRegistry,
         extensions: Extensions,
         dispatch: Callable[[Event], None],
+        memory: MemoryBudget,
     ) -> None:
         self._settings = settings
         self._transports = transports
@@ -64,6 +67,7 @@
         self._engines = engines
         self._extensions = extensions
         self._dispatch = dispatch
+        self._memory = memory
 
     async def execute(self, live: LiveRequest, send: SendAttempt) -> AttemptEnded:
         """Execute one attempt and return its AttemptEnded, which must be dispatched however it ended."""
@@ -83,14 +87,19 @@
         return await self._run(Attempt(live, engine, send, number))
 
     async def _run(self, attempt: Attempt) -> AttemptEnded:
+        with Reservation(self._memory, MemoryUse.ANSWERS) as result_memory:
+            return await self._run_within(attempt, result_memory)
+
+    async def _run_within(self, attempt: Attempt, result_memory: Reservation) -> AttemptEnded:
+        """Run an attempt whose result is gathered within ``result_memory``."""
         live = attempt.live
         self._record_sent(attempt)
         sent_ms = self._deadlines.clock()
         timeout_at_ms = self._timeout_at_ms(attempt, sent_ms)
         outcome = AttemptOutcome()
-        call = live.call = self._create_call(attempt, outcome, timeout_at_ms - sent_ms)
+        call = live.call = self._create_call(attempt, outcome, timeout_at_ms - sent_ms, result_memory)
         with self._deadlines.limit(timeout_at_ms) as live.attempt_scope:
-            await self._poll_to_end(attempt, call, outcome)
+            await self._poll_to_end(attempt, call, outcome, result_memory)
         if live.attempt_scope.cancelled_caught and self._deadlines.clock() >= timeout_at_ms:
             outcome.status = Status.TIMEOUT
         if outcome.status is not Status.OK:  # what may still run must be abandoned before the next attempt
@@ -121,7 +130,9 @@
             return min(attempt.live.deadline_ms, sent_ms + attempt.send.limit_ms)
         return attempt.live.deadline_ms
 
-    def _create_call(self, attempt: Attempt, outcome: AttemptOutcome, timeout_ms: float) -> Call:
+    def _create_call(
+        self, attempt: Attempt, outcome: AttemptOutcome, timeout_ms: float, result_memory: Reservation
+    ) -> Call:
         # The transport calls _may_send right before the first byte: while it was connecting, the engine may
         # have begun to drain, or the request may have been abandoned.
         live = attempt.live
@@ -132,10 +143,17 @@
                 live.priority,
                 timeout_ms,
                 partial(self._may_send, attempt),
+                partial(self._reserve_result, result_memory),
                 partial(self._query_finished, attempt, outcome),
             )
         )
 
+    async def _reserve_result(self, result_memory: Reservation, size: int) -> None:
+        """Wait until there is room for ``size`` more bytes of a result; raise AttemptFailedError if never."""
+        if result_memory.size + size > min(MAX_RESULT_BYTES, self._memory.most_bytes(MemoryUse.ANSWERS)):
+            raise AttemptFailedError(Status.ERROR, "the result exceeds the limit on its size")
+        await result_memory.extend(size)
+
     def _query_finished(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """Free the engine's threads for other requests while the result is checked."""
         if outcome.query_finished_ms:
@@ -166,7 +184,9 @@
         now = self._deadlines.clock()
         return Denial.WINDOW_OVER if now > send.begin_by else live.send_guard.denial(now)
 
-    async def _poll_to_end(self, attempt: Attempt, call: Call, outcome: AttemptOutcome) -> None:
+    async def _poll_to_end(
+        self, attempt: Attempt, call: Call, outcome: AttemptOutcome, result_memory: Reservation
+    ) -> None:
         """Poll an attempt until it has ended, and record in ``outcome`` how it ended."""
         watch = self._extensions.zone_watch
         try:
@@ -180,6 +200,8 @@
                     )
                 progress = await call.poll()
             outcome.load_report = progress.load_report
+            if len(progress.rows) > FIRST_PAGE_BYTES:
+                await self._reserve_result(result_memory, len(progress.rows) - FIRST_PAGE_BYTES)
             remaining_bytes = MAX_RESULT_BYTES - len(progress.rows)
             outcome.pages = [progress.rows, *await call.remaining_pages(remaining_bytes)]
             # Set only after the last page: losing a page is an error of an attempt that may have run.
--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -98,6 +98,7 @@
             self.registry,
             self.extensions,
             self.dispatch,
+            self.memory,
         )
         self._arrival_pacer = ArrivalPacer()
         self._nursery: trio.Nursery | None = None
--- a/fordstair/core/ports.py
+++ b/fordstair/core/ports.py
@@ -165,6 +165,10 @@
     return True
 
 
+async def _always_room(size: int) -> None:
+    """Do nothing."""
+
+
 def _ignore_end() -> None:
     """Do nothing."""
 
@@ -176,6 +180,8 @@
     Attributes:
         timeout_ms: the time that the whole attempt may take.
         may_send: awaited right before the first byte is sent; if it returns False, nothing must be sent.
+        reserve_result: awaited before so many more bytes of the result are fetched than the first page has;
+            raises AttemptFailedError if there can be no room for them.
         query_finished: called when the engine has finished the query but its result is not checked yet; not
             every transport calls it, and one may call it more than once.
     """
@@ -185,6 +191,7 @@
     priority: int
     timeout_ms: float
     may_send: Callable[[], Awaitable[bool]] = _always_allowed
+    reserve_result: Callable[[int], Awaitable[None]] = _always_room
     query_finished: Callable[[], None] = _ignore_end
 
 
--- a/fordstair/core/request_memory.py
+++ b/fordstair/core/request_memory.py
@@ -4,8 +4,10 @@
 
 from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse, Reservation
 
-# What an open request takes besides its statement: its task and state, and the first page of its result.
-REQUEST_BYTES = 16 * 1024
+# The first page of a result, for which there is room from the start.
+FIRST_PAGE_BYTES = 8 * 1024
+# What an open request takes besides its statement: its task and state, and that page.
+REQUEST_BYTES = 8 * 1024 + FIRST_PAGE_BYTES
 # A statement is held by its request and, while it is sent to an engine, by the encoded request as well.
 STATEMENT_COPIES = 2
 # A request with a longer statement leaves room for others.
--- a/fordstair/net/clients/client_limits.py
+++ b/fordstair/net/clients/client_limits.py
@@ -33,6 +33,7 @@
 RPC_CONNECTION_BYTES = 15 * 1024
 # Above this backlog of unsent responses the connection is not read, so that responses cannot pile up.
 RPC_MAX_UNSENT_BYTES = 256 * 1024
+RPC_MAX_UNSENT_BYTES_IF_SCARCE = 16 * 1024
 # The interval at which that backlog is checked again.
 RPC_UNSENT_CHECK_MS = 10.0
 # After this many messages in a row a connection lets other tasks run.
--- a/fordstair/net/clients/response_writer.py
+++ b/fordstair/net/clients/response_writer.py
@@ -2,16 +2,35 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import trio
 
 from fordstair.runtime.deadlines import Deadlines
+from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse, Reservation
+
+# A client that does not read holds memory that others wait for.
+WRITE_TIMEOUT_IF_SCARCE_MS = 1_000.0
+SCARCE_CHECK_MS = 100.0
 
 
 class ResponseWriter:
-    """The queue of responses that are still to be sent on one connection."""
+    """The queue of responses that are still to be sent on one connection.
 
-    def __init__(self, stream: trio.abc.SendStream, deadlines: Deadlines, write_timeout_ms: float) -> None:
+    Answers get through whether there is memory or not: they take the place of requests that had reserved it.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.SendStream,
+        deadlines: Deadlines,
+        write_timeout_ms: float,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self._stream = stream
+        self._memory = memory or MemoryBudget()
+        self._reservation = Reservation(self._memory, MemoryUse.ANSWERS)
         self._deadlines = deadlines
         self._write_timeout_ms = write_timeout_ms
         self._unsent = bytearray()
@@ -21,8 +40,8 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """The number of bytes that are queued and not being sent yet."""
-        return len(self._unsent)
+        """The number of bytes that are queued or being sent."""
+        return self._reservation.size
 
     @property
     def flushed(self) -> bool:
@@ -32,6 +51,7 @@
     def queue(self, data: bytes) -> None:
         """Queue a response, and wake the task that sends."""
         self._unsent += data
+        self._reservation.charge(self._reservation.size + len(data))
         self._changed.set()
 
     def wake(self) -> None:
@@ -48,14 +68,36 @@
             data = self._unsent
             self._unsent = bytearray()
             self._sending = True
-            with self._deadlines.limit_for(self._write_timeout_ms) as limit:
+            with self._deadlines.limit_for(self._write_timeout_ms) as limit, self._yielding_to_others(limit):
                 await self._stream.send_all(data)
             if limit.cancelled_caught:
                 return len(data)
+            self._reservation.charge(len(self._unsent))
         self._sending = False
         self._flushed.set()
         return 0
 
+    @contextmanager
+    def _yielding_to_others(self, limit: trio.CancelScope) -> Iterator[None]:
+        """Cancel a send that takes WRITE_TIMEOUT_IF_SCARCE_MS or longer while memory is scarce."""
+
+        def check() -> None:
+            if self._memory.scarce:
+                limit.cancel()
+            else:
+                checks[0] = self._deadlines.after(SCARCE_CHECK_MS, check)
+
+        checks = [self._deadlines.after(WRITE_TIMEOUT_IF_SCARCE_MS, check)]
+        try:
+            yield
+        finally:
+            self._deadlines.cancel(checks[0])
+
+    def discard(self) -> None:
+        """Drop what is not sent: the connection has ended."""
+        self._unsent = bytearray()
+        self._reservation.release()
+
     async def wait_for_change(self) -> None:
         """Wait until a response is queued or ``wake`` is called."""
         self._changed = trio.Event()
--- a/fordstair/net/clients/rpc_connection.py
+++ b/fordstair/net/clients/rpc_connection.py
@@ -66,7 +66,9 @@
         self._message_began_ms = 0.0
         self._consecutive_invalid = 0
         self._last_request_id = -1
-        self._writer = ResponseWriter(stream, self.deadlines, client_limits.RPC_WRITE_TIMEOUT_MS)
+        self._writer = ResponseWriter(
+            stream, self.deadlines, client_limits.RPC_WRITE_TIMEOUT_MS, coordinator.memory
+        )
         self._read_delay = ReadDelay(stream, poll_watch or PollWatch(), self.deadlines, accept_delay_ms)
         self._read_pacer = read_pacer or ReadPacer()
         # Whether input may have been read that is not handled yet:
@@ -103,6 +105,15 @@
         sock = self.stream.socket
         return sock.fileno() >= 0 and sock.is_readable()
 
+    @property
+    def _responses_unread(self) -> bool:
+        """Whether so many responses are unsent that no further ones should be added."""
+        scarce = self.coordinator.memory.scarce
+        max_bytes = (
+            client_limits.RPC_MAX_UNSENT_BYTES_IF_SCARCE if scarce else client_limits.RPC_MAX_UNSENT_BYTES
+        )
+        return self._writer.unsent_bytes > max_bytes
+
     async def run(self) -> None:
         """Serve the connection until it ends, then close it and abandon the requests that are still open."""
         self._start_message_timeout(client_limits.RPC_MESSAGE_TIMEOUT_MS)
@@ -114,6 +125,7 @@
         finally:
             self._stop_message_timeout()
             self._abandon_requests()
+            self._writer.discard()
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self.stream)
 
@@ -126,10 +138,9 @@
         """Wait until all input is handled; a cancellation or its end may be in it.
 
         More of it may still be on its way here after the client has closed, so the wait goes on while there
-        is any. No attempt begins meanwhile, nor while the client does not read its responses, since the
-        connection is not read then either.
+        is any. No attempt begins meanwhile, nor while the client does not read its responses.
         """
-        while self._handling or self.has_unread_input:
+        while self._handling or self.has_unread_input or self._responses_unread:
             await self.deadlines.sleep(DRAIN_CHECK_MS)
 
     def abort(self) -> None:
@@ -191,7 +202,7 @@
         has crossed the half-close, and its client sends it again.
         """
         while not self._timed_out:
-            while self._writer.unsent_bytes > client_limits.RPC_MAX_UNSENT_BYTES:
+            while self._responses_unread:
                 await self.deadlines.sleep(client_limits.RPC_UNSENT_CHECK_MS)
             if self.closing and self.quiescent and not self.has_unread_input:
                 half_close(self.stream)
--- a/fordstair/net/engines/connection_policies.py
+++ b/fordstair/net/engines/connection_policies.py
@@ -6,6 +6,10 @@
 
 # Bytes that belong to a response, or to a copy of it, may follow its last byte for this long.
 LATE_BYTES_TIMEOUT_MS = 30.0
+# The memory that a connection takes, with its part of a request and of a response.
+ENGINE_CONNECTION_BYTES = 12 * 1024
+# What a connection may hold of a response in any case; a request has room for its first page.
+SMALL_RESPONSE_BYTES = 8 * 1024
 # An idle connection is closed here before the engine closes it: a POST must not cross such a close.
 IDLE_CLOSE_MARGIN_MS = 1_000.0
 # Lower bound on how long an idle connection is kept, as a fraction of the engines' idle timeout. It applies
--- a/fordstair/net/engines/connector.py
+++ b/fordstair/net/engines/connector.py
@@ -14,6 +14,7 @@
 from fordstair.net.engines.errors import ConnectTimeoutError
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
+from fordstair.runtime.memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
     import ssl
@@ -35,11 +36,13 @@
         counters: Counters,
         tls_context_of: TlsContextOf,
         check_peer: CheckPeer,
+        memory: MemoryBudget,
     ) -> None:
         self._deadlines = deadlines
         self._counters = counters
         self._tls_context_of = tls_context_of
         self._check_peer = check_peer
+        self._memory = memory
 
     async def connect(self, endpoint: Endpoint, timeout_ms: float) -> PooledConnection:
         """Open a connection, retrying transient errors until the timeout; raise ConnectError."""
@@ -70,7 +73,7 @@
         if stream is None:
             sock.close()
             raise ConnectTimeoutError(f"{endpoint.address}: no connection within {timeout_ms:.0f} ms")
-        return PooledConnection(sock, stream, endpoint)
+        return PooledConnection(sock, stream, endpoint, self._memory)
 
     async def _open_stream(
         self, sock: trio.socket.SocketType, peer: tuple[str, int], address: str, until_ms: float
--- a/fordstair/net/engines/endpoint.py
+++ b/fordstair/net/engines/endpoint.py
@@ -9,6 +9,7 @@
 
 from fordstair.net.engines.errors import ConnectError
 from fordstair.net.engines.http11_connection import HTTP11Connection
+from fordstair.runtime.memory_budget import MemoryBudget
 
 
 @dataclass(slots=True, eq=False)
@@ -35,8 +36,14 @@
 class PooledConnection(HTTP11Connection):
     """A connection that is released to the endpoint for which it was opened."""
 
-    def __init__(self, sock: trio.socket.SocketType, stream: trio.abc.Stream, endpoint: Endpoint) -> None:
-        super().__init__(sock, stream, endpoint.address)
+    def __init__(
+        self,
+        sock: trio.socket.SocketType,
+        stream: trio.abc.Stream,
+        endpoint: Endpoint,
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        super().__init__(sock, stream, endpoint.address, memory)
         self.endpoint = endpoint
 
 
--- a/fordstair/net/engines/http11_connection.py
+++ b/fordstair/net/engines/http11_connection.py
@@ -11,6 +11,7 @@
 import h11
 import trio
 
+from fordstair.net.engines.connection_policies import SMALL_RESPONSE_BYTES
 from fordstair.net.engines.error_mapping import (
     EXCHANGE_ERRORS,
     LOST_CONNECTION_ERRORS,
@@ -18,6 +19,7 @@
 )
 from fordstair.net.engines.errors import ConnectionLostError, ProtocolError
 from fordstair.net.engines.http_messages import STATUS_NO_CONTENT, HttpRequest, HttpResponse
+from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse, Reservation
 
 READ_BYTES = 16_384
 MAX_RESPONSE_BYTES = 1024 * 1024
@@ -35,7 +37,13 @@
             LATE_BYTES_TIMEOUT_MS have passed since that response.
     """
 
-    def __init__(self, sock: trio.socket.SocketType, stream: trio.abc.Stream, host: str) -> None:
+    def __init__(
+        self,
+        sock: trio.socket.SocketType,
+        stream: trio.abc.Stream,
+        host: str,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self.sock = sock
         self.stream = stream
         self.host = host
@@ -44,6 +52,7 @@
         self.desynchronized = False
         self.quiet = True
         self._h11 = h11.Connection(h11.CLIENT)
+        self._response_memory = Reservation(memory or MemoryBudget(), MemoryUse.ANSWERS)
 
     async def exchange(self, request: HttpRequest) -> HttpResponse:
         """Send a request and receive its response; the caller bounds the time. Raise ExchangeError."""
@@ -127,6 +136,15 @@
         """Close an idle connection normally, without a forced reset."""
         self.sock.close()
 
+    def release_response(self) -> None:
+        """Give back the memory of the last response, whose caller has parsed it."""
+        self._response_memory.release()
+
+    def _reserve(self, size: int) -> None:
+        """Reserve the memory of a response so far; raise ProtocolError if there is no room."""
+        if size > SMALL_RESPONSE_BYTES and not self._response_memory.try_resize(size):
+            raise ProtocolError(f"no room for a response of more than {self._response_memory.size} bytes")
+
     def _encode(self, request: HttpRequest) -> bytes:
         headers = [("Host", self.host), *request.headers]
         if request.has_content_length:
@@ -140,11 +158,14 @@
     async def _receive(self) -> HttpResponse:
         response = HttpResponse(0, {}, b"")
         parts = list[bytes]()
-        size = 0
+        size = unparsed_bytes = 0
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
-                self._h11.receive_data(await self.stream.receive_some(READ_BYTES))
+                data = await self.stream.receive_some(READ_BYTES)
+                unparsed_bytes += len(data)
+                self._reserve(size + unparsed_bytes)
+                self._h11.receive_data(data)
             elif isinstance(event, h11.Response):
                 response.status = event.status_code
                 response.headers = dict(event.headers)
@@ -153,6 +174,7 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
+                unparsed_bytes = 0
                 if size > MAX_RESPONSE_BYTES:  # Bounds the memory that a faulty engine can use.
                     raise ProtocolError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
--- a/fordstair/net/engines/odata.py
+++ b/fordstair/net/engines/odata.py
@@ -49,7 +49,9 @@
         """Follow the next link; None if there is none."""
         if not self._next_path:
             return None
-        return await self.get(self._next_path, self._read_page)
+        rows = await self.get(self._next_path, self._read_page)
+        await self.attempt_request.reserve_result(len(rows))
+        return rows
 
     async def set_priority(self, priority: int) -> None:
         """Do nothing: OData cannot change the priority of a running query."""
--- a/fordstair/net/engines/pool.py
+++ b/fordstair/net/engines/pool.py
@@ -9,6 +9,7 @@
 import trio
 
 from fordstair.net.engines.connection_policies import (
+    ENGINE_CONNECTION_BYTES,
     IDLE_CLOSE_MARGIN_MS,
     LATE_BYTES_TIMEOUT_MS,
     IdleConnectionPolicy,
@@ -19,6 +20,7 @@
 from fordstair.net.engines.errors import ConnectError, ConnectTimeoutError
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.deadlines import Deadlines
+from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse
 
 
 class ConnectionPool:
@@ -43,10 +45,12 @@
         *,
         tls_context_of: TlsContextOf = lambda _: None,
         check_peer: CheckPeer = lambda *_: None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.deadlines = deadlines
         self.counters = counters
-        self.connector = Connector(deadlines, counters, tls_context_of, check_peer)
+        self.memory = memory or MemoryBudget()
+        self.connector = Connector(deadlines, counters, tls_context_of, check_peer, self.memory)
         self.on_connect_timeout: Callable[[str, float], None] = lambda address, after_ms: None
         self._idle_policy = IdleConnectionPolicy()
         self._late_policy = LateConnectPolicy()
@@ -116,6 +120,7 @@
         response would be read as the response to the next request.
         """
         endpoint = connection.endpoint
+        connection.release_response()
         if not connection.reusable:
             connection.abort()
             self._count_closed(endpoint)
@@ -145,6 +150,12 @@
                 self._close(endpoint.idle.pop(0))
         self.deadlines.after(IDLE_CLOSE_MARGIN_MS, self.close_expired)
 
+    @property
+    def _has_capacity(self) -> bool:
+        """Whether one more connection may be opened."""
+        has_memory = self.memory.free_bytes(MemoryUse.ENGINE_CONNECTIONS) >= ENGINE_CONNECTION_BYTES
+        return has_memory and self._connection_count < self.max_connections
+
     def _is_expired(self, connection: PooledConnection) -> bool:
         now_ms = self.deadlines.clock()
         return self._idle_policy.is_expired(connection.idle_since_ms, now_ms, self.idle_timeout_ms)
@@ -188,6 +199,7 @@
         waiter.changed = trio.Event()
         waiter.connect_scope = trio.CancelScope()
         self._connection_count += 1
+        self.memory.charge(MemoryUse.ENGINE_CONNECTIONS, ENGINE_CONNECTION_BYTES)
         waiter.endpoint.connection_count += 1
         self._nursery.start_soon(self._establish, waiter, waiter.connect_scope)
         with self.deadlines.limit_for(self.connect_timeout_ms):
@@ -195,11 +207,7 @@
 
     async def _wait_for_capacity(self, waiter: ConnectionWaiter) -> None:
         """Wait until one more connection may be opened, or a released one has been assigned."""
-        while (
-            waiter.connection is None
-            and self._connection_count >= self.max_connections
-            and not self._free_capacity()
-        ):
+        while waiter.connection is None and not self._has_capacity and not self._free_capacity():
             waiter.changed = trio.Event()
             self._capacity_waiters.append(waiter)
             try:
@@ -227,12 +235,13 @@
 
     def _count_closed(self, endpoint: Endpoint) -> None:
         self._connection_count -= 1
+        self.memory.release(MemoryUse.ENGINE_CONNECTIONS, ENGINE_CONNECTION_BYTES)
         endpoint.connection_count -= 1
         self._drop_if_unused(endpoint)
         self._wake_capacity_waiter()
 
     def _wake_capacity_waiter(self) -> None:
-        if self._capacity_waiters and self._connection_count < self.max_connections:
+        if self._capacity_waiters and self._has_capacity:
             self._capacity_waiters.popleft().changed.set()
 
     def _drop_if_unused(self, endpoint: Endpoint) -> None:
--- a/fordstair/net/engines/rest.py
+++ b/fordstair/net/engines/rest.py
@@ -63,6 +63,9 @@
 
     async def remaining_pages(self, max_bytes: int) -> list[bytes]:
         """Fetch the pages after the first on one connection; if one is in doubt, fetch each by itself."""
+        if self._page_count > 1:
+            expected_bytes = (self._page_count - 1) * rest_wire.MAX_PAGE_BYTES
+            await self.attempt_request.reserve_result(min(max_bytes, expected_bytes))
         if self._page_count >= MIN_PAGES_FOR_SEQUENCE:
             pages = await self._pages_in_sequence(max_bytes)
             if pages is not None:
@@ -76,7 +79,9 @@
             return None
         self._length_policy = PageLengthPolicy()
         path = rest_wire.page_path(self.attempt_request.query.transaction_id, self._page_number)
-        return await self.get(path, self._read_page)
+        rows = await self.get(path, self._read_page)
+        await self._reserve_excess(rows)
+        return rows
 
     async def set_priority(self, priority: int) -> None:
         """PUT a new priority, best effort: one that does not arrive does no harm."""
@@ -111,6 +116,7 @@
                 connection = await self.pool.acquire(self.address)
                 for number in range(1, self._page_count):
                     pages.append(await self._exchange_page(connection, number))
+                    await self._reserve_excess(pages[-1])
                     check_size(pages, max_bytes)
                 return None if await self.receive_late_bytes(connection) else pages
             except (ConnectError, ExchangeError):
@@ -128,6 +134,11 @@
             raise ProtocolError("the page cannot be read in sequence")
         return rest_wire.page_rows(response, number)
 
+    async def _reserve_excess(self, rows: bytes) -> None:
+        """Reserve what a page has over the size that was reserved for it."""
+        if len(rows) > rest_wire.MAX_PAGE_BYTES:
+            await self.attempt_request.reserve_result(len(rows) - rest_wire.MAX_PAGE_BYTES)
+
     def _read_page(self, response: HttpResponse) -> bytes:
         if response.status != STATUS_OK:
             raise self.ended_error(Status.ERROR, f"page {self._page_number}: status {response.status}")
--- a/fordstair/net/engines/rest_wire.py
+++ b/fordstair/net/engines/rest_wire.py
@@ -13,6 +13,7 @@
 
 QUERIES_PATH = "/o"
 MAX_PAGES = 1_000
+MAX_PAGE_BYTES = 6_000  # of a sound engine
 
 _REQUEST_ID = "X-Txn"
 _REQUEST_CLASS = "X-Lane"
--- a/fordstair/program/coordinator_program.py
+++ b/fordstair/program/coordinator_program.py
@@ -195,6 +195,7 @@
             self.counters,
             tls_context_of=self._tls_context,
             check_peer=self.identity.check_engine if self.identity else lambda *_: None,
+            memory=self.memory,
         )
 
     def _tls_context(self, address: str) -> ssl.SSLContext | None:
--- a/fordstair/program/memory_watch.py
+++ b/fordstair/program/memory_watch.py
@@ -8,7 +8,7 @@
 from fordstair.runtime.deadlines import Deadlines
 from fordstair.runtime.event_log import EventLog
 from fordstair.runtime.memory_budget import BYTES_PER_MB, MemoryBudget, MemoryLimit
-from fordstair.runtime.process_memory import resident_bytes
+from fordstair.runtime.process_memory import resident_bytes, return_free_memory
 
 log = EventLog("fordstair")
 
@@ -58,3 +58,4 @@
             self._budget.observe_resident(resident_bytes())
             if self._budget.unexplained_bytes > COLLECT_ABOVE_BYTES:
                 gc.collect()
+                return_free_memory()
--- a/fordstair/runtime/memory_budget.py
+++ b/fordstair/runtime/memory_budget.py
@@ -21,8 +21,10 @@
 BYTES_PER_KB = 1024
 BYTES_PER_MB = 1024 * 1024
 # What a turn of the event loop may hold beside the reservations: copies made while a message is handled.
-MIN_MARGIN_BYTES = 1536 * BYTES_PER_KB
+MIN_MARGIN_BYTES = 3 * BYTES_PER_MB
 MARGIN_SHARE = 0.05  # of the limit, where that is more
+# The part of the margin that the allocator may waste before the waste is taken off the room.
+EXPECTED_WASTE_SHARE = 0.2
 # The least room in which a few clients can be served.
 MIN_ROOM_BYTES = 2 * BYTES_PER_MB
 # The common room counts as scarce below the first share of it that is free, until the second one is.
@@ -129,6 +131,10 @@
         """Return the bytes that only one use may take; 0 without a limit."""
         return self._guaranteed[use]
 
+    def most_bytes(self, use: MemoryUse) -> int:
+        """Return the most that can ever be reserved for one use."""
+        return sys.maxsize if self._limit is None else self._guaranteed[use] + self._common_bytes
+
     def free_bytes(self, use: MemoryUse) -> int:
         """Return how many bytes can be reserved for a use now; without a limit, sys.maxsize."""
         if self._limit is None:
@@ -172,7 +178,8 @@
         self._resident_bytes = resident_bytes
         if self._limit is None:
             return
-        explained_bytes = self._limit.base_bytes + self._limit.margin_bytes // 2 + self._peak_bytes
+        expected_waste = int(EXPECTED_WASTE_SHARE * self._limit.margin_bytes)
+        explained_bytes = self._limit.base_bytes + expected_waste + self._peak_bytes
         self._unexplained_bytes = max(0, resident_bytes - explained_bytes)
         self._divide()
 
