--- a/fordstair/core/coordinator.py
+++ b/fordstair/core/coordinator.py
@@ -81,7 +81,7 @@
         self.classes = {spec.name: index for index, spec in enumerate(settings.classes)}
         self.tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
         self.extensions = Extensions()
-        self.requests = RequestTable(counters, self.invariants)
+        self.requests = RequestTable(counters, self.invariants, self.memory)
         self.registry = EngineRegistry(transports)
         self.priorities = QueryPriorities(counters, self._start_task)
         self.draining = False
--- a/fordstair/core/request_table.py
+++ b/fordstair/core/request_table.py
@@ -15,6 +15,7 @@
 from fordstair.decisions.settings import RequestClass
 from fordstair.runtime.counters import Counters
 from fordstair.runtime.event_log import EventLog
+from fordstair.runtime.memory_budget import MemoryBudget
 
 log = EventLog(__name__)
 
@@ -34,13 +35,15 @@
 class RequestTable:
     """All requests in progress. Final answers are sent only from here, at most one for each request."""
 
-    def __init__(self, counters: Counters, invariants: Invariants) -> None:
+    def __init__(
+        self, counters: Counters, invariants: Invariants, memory: MemoryBudget | None = None
+    ) -> None:
         self.live: dict[int, LiveRequest] = {}
         self.rejections: Counter[tuple[str, str]] = Counter()  # by class and reason
         self._counters = counters
         self._invariants = invariants
         self._transaction_ids: set[str] = set()
-        self._past_loads = LoadHistory()
+        self._past_loads = LoadHistory(memory)
         self._last_id = 0
 
     def add(self, query: Query, reply: Reply, spec: RequestClass, now_ms: float) -> LiveRequest:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -19,14 +19,18 @@
 from fordstair.configuration.errors import ConfigError
 from fordstair.configuration.platform import parse
 from fordstair.core.coordinator import Coordinator
+from fordstair.core.load_history import ROOM_SHARE, LoadHistory
 from fordstair.net.clients.client_limits import RPC_CONNECTION_BYTES
+from fordstair.net.clients.odata_errors import ODataError
 from fordstair.net.clients.odata_front import ODataFront
 from fordstair.net.clients.odata_input import parsed_json_bytes
+from fordstair.net.clients.odata_messages import Response as ODataResponse
 from fordstair.net.clients.odata_messages import decode_json
 from fordstair.net.clients.odata_model import EntitySet
 from fordstair.net.clients.odata_results import Result, StoredResults
 from fordstair.net.clients.poll_watch import PollWatch
 from fordstair.net.clients.read_delay import ReadDelay
+from fordstair.net.clients.repeatable_requests import RETENTION_MS, LocalIdempotencyStore
 from fordstair.net.clients.rpc_front import RpcFront
 from fordstair.program.memory_watch import MemoryWatch
 from fordstair.runtime.counters import Counters
@@ -335,3 +339,40 @@
         listeners = await nursery.start(partial(trio.serve_tcp, serve, 0, host="127.0.0.1"))
         yield front, listeners[0].socket.getsockname()[1]
         nursery.cancel_scope.cancel()
+
+
+def test_the_ids_of_past_loads_take_a_part_of_the_room() -> None:
+    # Guards against a process over its memory after thousands of loads.
+    budget = limited()
+    budget.set_limit(TIGHT_LIMIT)
+    history = LoadHistory(budget)
+    tracemalloc.start()
+    for number in range(20_000):
+        history.add(f"{number:016x}")
+    taken_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert taken_bytes <= budget.used_bytes <= ROOM_SHARE * TIGHT_LIMIT.room_bytes
+    assert f"{19_999:016X}" in history
+
+
+def test_responses_to_repeatable_loads_are_kept_only_as_far_as_there_is_room() -> None:
+    # Guards against kept responses that together exceed the memory, and against a load that runs again.
+    async def scene() -> None:
+        now_ms = [0.0]
+        deadlines = Deadlines(lambda: now_ms[0])
+        coordinator = Coordinator(parse(config()).settings, 1, {}, deadlines, Counters(), limited())
+        store = LocalIdempotencyStore(coordinator)
+        first = ODataResponse(201, bytes(100_000))
+        with pytest.raises(ODataError, match="its answer is not kept"):
+            for number in range(1_000):
+                ticket = await store.begin("team", f"id-{number}")
+                assert isinstance(ticket, tuple)
+                store.end(ticket, first if number == 0 else ODataResponse(201, bytes(100_000)))
+                await store.begin("team", f"id-{number}")
+        assert coordinator.memory.used_bytes <= coordinator.memory.most_bytes(MemoryUse.ANSWERS)
+        assert await store.begin("team", "id-0") is first
+        now_ms[0] = RETENTION_MS + 1.0
+        deadlines.sweep()
+        assert coordinator.memory.used_bytes == 0
+
+    run_with_timeout(scene)
