Make reservations cheaper, log a scarcity once a second, and wake who waits when room returns

The budget looked up its uses by Enum, whose hash is Python code, and summed them at each change; a send registered two deadlines. Uses are indexes now, sums are kept, a send has one deadline. Who waits for room is also woken when the room grows because the real size has fallen; memory.scarce and memory.plenty are logged at most once a second.

--- a/fordstair/net/clients/response_writer.py
+++ b/fordstair/net/clients/response_writer.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import trio
 
-from fordstair.runtime.deadlines import Deadlines
+from fordstair.runtime.deadlines import DeadlineHandle, Deadlines
 from fordstair.runtime.memory_budget import MemoryBudget, MemoryUse, Reservation
 
 # A client that does not read holds memory that others wait for.
@@ -35,6 +32,7 @@
         self._write_timeout_ms = write_timeout_ms
         self._unsent = bytearray()
         self._sending = False
+        self._send_check: DeadlineHandle = (0.0, 0)
         self._changed = trio.Event()
         self._flushed = trio.Event()
 
@@ -62,36 +60,40 @@
         """Send all queued responses; return 0, or the size of the batch that timed out.
 
         Everything that is queued when a send starts is one batch, with one timeout. The stream cannot be used
-        after a timeout or a cancellation, since part of a batch may have been sent.
+        after a timeout or a cancellation, since part of a batch may have been sent. While memory is scarce,
+        the timeout is WRITE_TIMEOUT_IF_SCARCE_MS.
         """
         while self._unsent:
             data = self._unsent
             self._unsent = bytearray()
             self._sending = True
-            with self._deadlines.limit_for(self._write_timeout_ms) as limit, self._yielding_to_others(limit):
-                await self._stream.send_all(data)
-            if limit.cancelled_caught:
+            with trio.CancelScope() as scope:
+                self._begin_send(scope)
+                try:
+                    await self._stream.send_all(data)
+                finally:
+                    self._deadlines.cancel(self._send_check)
+            if scope.cancelled_caught:
                 return len(data)
             self._reservation.charge(len(self._unsent))
         self._sending = False
         self._flushed.set()
         return 0
 
-    @contextmanager
-    def _yielding_to_others(self, limit: trio.CancelScope) -> Iterator[None]:
-        """Cancel a send that takes WRITE_TIMEOUT_IF_SCARCE_MS or longer while memory is scarce."""
+    def _begin_send(self, scope: trio.CancelScope) -> None:
+        """Cancel the scope once a send has timed out."""
+        began_ms = self._deadlines.clock()
 
         def check() -> None:
-            if self._memory.scarce:
-                limit.cancel()
+            timed_out = self._deadlines.clock() >= began_ms + self._write_timeout_ms
+            if timed_out or self._memory.scarce:
+                scope.cancel()
             else:
-                checks[0] = self._deadlines.after(SCARCE_CHECK_MS, check)
+                self._send_check = self._deadlines.after(SCARCE_CHECK_MS, check)
 
-        checks = [self._deadlines.after(WRITE_TIMEOUT_IF_SCARCE_MS, check)]
-        try:
-            yield
-        finally:
-            self._deadlines.cancel(checks[0])
+        self._send_check = self._deadlines.after(
+            min(WRITE_TIMEOUT_IF_SCARCE_MS, self._write_timeout_ms), check
+        )
 
     def discard(self) -> None:
         """Drop what is not sent: the connection has ended."""
--- a/fordstair/runtime/memory_budget.py
+++ b/fordstair/runtime/memory_budget.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
+import math
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
+from enum import IntEnum
 
 import trio
 
+from fordstair.runtime.clock import monotonic_now
 from fordstair.runtime.event_log import EventLog
 
 log = EventLog(__name__)
@@ -30,16 +32,18 @@
 # The common room counts as scarce below the first share of it that is free, until the second one is.
 SCARCE_BELOW_SHARE = 0.25
 PLENTY_ABOVE_SHARE = 0.4
+# Changes are logged at most once in this time.
+LOG_INTERVAL_MS = 1_000.0
 
 
-class MemoryUse(Enum):
-    """What memory is reserved for; the value is part of a figure's name."""
+class MemoryUse(IntEnum):
+    """What memory is reserved for; the name in lower case is part of a figure's name."""
 
-    CONNECTIONS = "connections"  # of clients, with their tasks and buffers
-    ENGINE_CONNECTIONS = "engine_connections"
-    INPUT = "input"  # messages that are not complete yet
-    REQUESTS = "requests"  # open requests with their statements
-    ANSWERS = "answers"  # results being gathered from engines, and responses that clients have not read
+    CONNECTIONS = 0  # of clients, with their tasks and buffers
+    ENGINE_CONNECTIONS = 1
+    INPUT = 2  # messages that are not complete yet
+    REQUESTS = 3  # open requests with their statements
+    ANSWERS = 4  # results being gathered from engines, and responses that clients have not read
 
 
 GUARANTEED_SHARES: Mapping[MemoryUse, float] = {
@@ -87,8 +91,8 @@
 
     def __init__(self) -> None:
         self._limit: MemoryLimit | None = None
-        self._used = dict.fromkeys(MemoryUse, 0)
-        self._guaranteed = dict.fromkeys(MemoryUse, 0)
+        self._used = [0] * len(MemoryUse)  # by use, as are the guaranteed bytes
+        self._guaranteed = [0] * len(MemoryUse)
         self._total_bytes = 0
         self._common_bytes = 0
         self._common_taken_bytes = 0
@@ -97,6 +101,8 @@
         self._resident_bytes = 0
         self._refusals = 0
         self._scarce = False
+        self._scarce_below_bytes = self._plenty_above_bytes = 0
+        self._logged_ms = -math.inf
         self._waiting = trio.lowlevel.ParkingLot()
 
     @property
@@ -122,7 +128,10 @@
     def set_limit(self, limit: MemoryLimit) -> None:
         """Set or change the limit; reservations beyond a lower one stay until they are released."""
         self._limit = limit
-        self._guaranteed = {use: int(share * limit.room_bytes) for use, share in GUARANTEED_SHARES.items()}
+        self._guaranteed = [int(GUARANTEED_SHARES[use] * limit.room_bytes) for use in MemoryUse]
+        common_bytes = limit.room_bytes - sum(self._guaranteed)
+        self._scarce_below_bytes = int(SCARCE_BELOW_SHARE * common_bytes)
+        self._plenty_above_bytes = int(PLENTY_ABOVE_SHARE * common_bytes)
         self._divide()
 
     def used(self, use: MemoryUse) -> int:
@@ -141,7 +150,9 @@
         """Return how many bytes can be reserved for a use now; without a limit, sys.maxsize."""
         if self._limit is None:
             return sys.maxsize
-        return max(0, self._guaranteed[use] - self._used[use]) + max(0, self._free_common_bytes())
+        own_bytes = self._guaranteed[use] - self._used[use]
+        common_bytes = self._common_bytes - self._common_taken_bytes
+        return (own_bytes if own_bytes > 0 else 0) + (common_bytes if common_bytes > 0 else 0)
 
     def try_reserve(self, use: MemoryUse, size: int, *, keep_free: int = 0) -> bool:
         """Reserve ``size`` bytes if ``keep_free`` more stay free; return whether it was done."""
@@ -154,12 +165,14 @@
     def charge(self, use: MemoryUse, size: int) -> None:
         """Reserve ``size`` bytes whether there is room or not: for what replaces another reservation."""
         self._add(use, size)
-        self._peak_bytes = max(self._peak_bytes, self._total_bytes)
+        if self._total_bytes > self._peak_bytes:
+            self._peak_bytes = self._total_bytes
 
     def release(self, use: MemoryUse, size: int) -> None:
         """Give back ``size`` bytes of a reservation."""
         self._add(use, -size)
-        self._waiting.unpark_all()
+        if self._waiting:
+            self._waiting.unpark_all()
 
     async def reserve(self, use: MemoryUse, size: int) -> None:
         """Wait until ``size`` bytes could be reserved; the caller bounds the time.
@@ -193,38 +206,42 @@
             "room": self.room_bytes,
             "used": self.used_bytes,
             "used_peak": self._peak_bytes,
-        } | {f"used.{use.value}": used for use, used in self._used.items()}
+        } | {f"used.{use.name.lower()}": self._used[use] for use in MemoryUse}
         return {f"{name}_kb": size // BYTES_PER_KB for name, size in sizes.items()} | {
             "no_room": self._refusals
         }
 
     def _add(self, use: MemoryUse, size: int) -> None:
-        used = self._used[use]
-        guaranteed = self._guaranteed[use]
-        self._used[use] = used + size
+        excess_before = self._used[use] - self._guaranteed[use]
+        excess = excess_before + size
+        self._used[use] += size
         self._total_bytes += size
-        self._common_taken_bytes += max(0, used + size - guaranteed) - max(0, used - guaranteed)
-        self._update_scarce()
+        if excess > 0 or excess_before > 0:
+            self._common_taken_bytes += max(0, excess) - max(0, excess_before)
+            self._update_scarce()
 
     def _divide(self) -> None:
-        self._common_taken_bytes = sum(
-            max(0, used - self._guaranteed[use]) for use, used in self._used.items()
-        )
-        common_bytes = self.room_bytes - sum(self._guaranteed.values())
+        excesses = (used - own for used, own in zip(self._used, self._guaranteed, strict=True))
+        self._common_taken_bytes = sum(max(0, excess) for excess in excesses)
+        common_bytes = self.room_bytes - sum(self._guaranteed)
         self._common_bytes = max(0, common_bytes - self._unexplained_bytes)
         self._update_scarce()
-
-    def _free_common_bytes(self) -> int:
-        return self._common_bytes - self._common_taken_bytes
+        self._waiting.unpark_all()
 
     def _update_scarce(self) -> None:
         if self._limit is None:
             return
-        share = PLENTY_ABOVE_SHARE if self._scarce else SCARCE_BELOW_SHARE
-        scarce = self._free_common_bytes() < share * (self.room_bytes - sum(self._guaranteed.values()))
+        free_bytes = self._common_bytes - self._common_taken_bytes
+        scarce = free_bytes < (self._plenty_above_bytes if self._scarce else self._scarce_below_bytes)
         if scarce != self._scarce:
             self._scarce = scarce
-            log.info("memory.scarce" if scarce else "memory.plenty", **self.figures())
+            self._log_change()
+
+    def _log_change(self) -> None:
+        now_ms = monotonic_now()
+        if now_ms >= self._logged_ms + LOG_INTERVAL_MS:
+            self._logged_ms = now_ms
+            log.info("memory.scarce" if self._scarce else "memory.plenty", **self.figures())
 
 
 class Reservation:
