Do not go on with a large read whose connection was closed as its place came

Found by reading the change again: where memory is short, a connection that waits for its place to read can be shed in the turn in which the place comes. Its read would then go on with a closed socket, a ValueError that is logged as client.internal_error (the client is gone, nobody else is concerned).

The wait now ends with a check for cancellation. The new test forces the order and fails 3 of 3 without it.

--- a/fordstair/net/clients/read_pacer.py
+++ b/fordstair/net/clients/read_pacer.py
@@ -21,13 +21,16 @@
         self._read_this_turn = 0
 
     async def wait(self) -> None:
-        """Wait for the caller's place in a turn; if cancelled, leave the queue."""
+        """Wait for the place of the caller in a turn; if cancelled by then, do not go on."""
         if not self._waiting and self._read_this_turn < LARGE_READS_PER_TURN:
             self._read_this_turn += 1
             if self._read_this_turn == 1:
                 trio.lowlevel.spawn_system_task(self._run_turns)
-            await trio.lowlevel.checkpoint_if_cancelled()
-            return
+        else:
+            await self._wait_for_place()
+        await trio.lowlevel.checkpoint_if_cancelled()  # its connection may have been closed meanwhile
+
+    async def _wait_for_place(self) -> None:
         place = trio.Event()
         self._waiting.append(place)
         try:
